Generate, check and place a configuration; decide leases and queues

Cause: nothing stood yet. Change: the configuration generated from a questionnaire, rendezvous placement of seats, and the pure state machines of leases, permissions, temperature, queues, budgets, the record of non-idempotent requests, gossip and membership, with their tests.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! A query tier over many shards whose hosts act together.
+//!
+//! Every host plays two parts: a coordinator admits a caller's request and gathers its answer, and
+//! an owner alone sends work to the backend servers of the seats that it holds. See
+//! `docs/ARCHITECTURE.md` for the way of one request.
+
+pub mod clock;
+mod derive;
+mod error;
+pub mod ids;
+mod outcome;
+pub mod process;
+pub mod version;
+
+pub use error::{Error, Result};
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
--- /dev/null
+++ b/src/process/membership.rs
@@ -0,0 +1,385 @@
+//! One host's part in membership: its claims, its promises as a witness, and its gossip.
+//!
+//! A pure state machine: time and randomness come in as arguments, messages go out as values.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use smallvec::SmallVec;
+
+use super::gossip::{Gossip, HeldSeat, Push, Received, SendStrategy};
+use super::lease::{Claim, ClaimReply, Release, SeatLease, Witness};
+use super::permission::Role;
+use crate::clock::Monotonic;
+use crate::ids::{HostId, Incarnation};
+use crate::version::operational::Operational;
+use crate::version::placement;
+
+/// How long a change of witnesses takes to be known everywhere.
+const SETTLE: Duration = Duration::from_secs(8);
+/// Standbys that hear a seat's heartbeats beside its witnesses.
+const LISTENING_STANDBYS: usize = 2;
+
+/// A message to send to another host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// A claim; its reply goes to [`Membership::on_claim_reply`].
+    Claim(HostId, Claim),
+    /// A release, which has no reply.
+    Release(HostId, Release),
+    /// A gossip message, which has no reply.
+    Push(HostId, Push),
+}
+
+/// What the request path reads of membership, as one immutable snapshot.
+#[derive(Debug, Clone, Default)]
+pub struct LeaseView {
+    /// The seats that this host holds.
+    pub held: HashMap<HostId, Held>,
+    /// Who holds each seat, as far as known.
+    pub holders: HashMap<HostId, HostId>,
+    /// The other hosts that were heard of lately and are not leaving, with their load.
+    pub live: HashMap<HostId, u32>,
+    /// This host's own seat is being handed over or its domain is out.
+    pub resigned: bool,
+}
+
+/// A seat that this host holds.
+#[derive(Debug, Clone, Copy)]
+pub struct Held {
+    /// The lease is valid before this.
+    pub until: Monotonic,
+    /// It has been held without a gap since then.
+    pub since: Monotonic,
+}
+
+impl LeaseView {
+    /// Returns what this host is to a seat.
+    pub fn role(&self, now: Monotonic, me: &str, seat: &str) -> Role {
+        if self.held.get(seat).is_some_and(|held| now < held.until) {
+            Role::Holder
+        } else if seat == me && !self.resigned {
+            Role::OwnerWithoutLease
+        } else {
+            Role::Other
+        }
+    }
+}
+
+/// The state of one host.
+#[derive(Debug)]
+pub struct Membership<S> {
+    me: HostId,
+    incarnation: Incarnation,
+    operational: Arc<Operational>,
+    witness: Witness,
+    seats: BTreeMap<HostId, SeatLease>,
+    heard: HashMap<HostId, Monotonic>,
+    gossip: Gossip<S>,
+    leaving: bool,
+    next_heartbeat: Monotonic,
+}
+
+impl<S: SendStrategy> Membership<S> {
+    /// Starts a host's life.
+    pub fn new(
+        now: Monotonic,
+        me: HostId,
+        incarnation: Incarnation,
+        operational: Arc<Operational>,
+        strategy: S,
+    ) -> Self {
+        let lease = operational.config.fleet.timing.lease();
+        let mut membership = Self {
+            gossip: Gossip::new(me.clone(), incarnation, strategy, now),
+            witness: Witness::new(now, lease),
+            seats: BTreeMap::new(),
+            heard: HashMap::new(),
+            leaving: false,
+            next_heartbeat: now,
+            me,
+            incarnation,
+            operational,
+        };
+        membership.set_config(now);
+        membership
+    }
+
+    /// Takes a new configuration.
+    pub fn adopt(&mut self, now: Monotonic, operational: Arc<Operational>) {
+        let old = std::mem::replace(&mut self.operational, operational);
+        let config = &self.operational.config;
+        let watched = |config| {
+            let hosts = &old.config.fleet.hosts;
+            hosts.iter().any(|h| placement::witnesses(config, &h.id).contains(&self.me))
+        };
+        let changed = config.fleet.hosts.iter().any(|host| {
+            placement::witnesses(&old.config, &host.id) != placement::witnesses(config, &host.id)
+        });
+        if changed && watched(config) {
+            self.witness.abstain(now, config.fleet.timing.lease());
+        }
+        for (seat, lease) in &mut self.seats {
+            lease.set_witnesses(placement::witnesses(config, seat), now + SETTLE);
+        }
+        self.set_config(now);
+    }
+
+    /// Starts to leave: seats are released once nothing is in flight.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Does what is due; `in_flight` tells how much is in flight at a seat's servers.
+    pub fn tick(
+        &mut self,
+        now: Monotonic,
+        load: u32,
+        in_flight: impl Fn(&HostId) -> u32,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + self.operational.config.fleet.timing.heartbeat();
+            self.heartbeat(now, in_flight, &mut actions);
+            let sends = self.gossip.tick(rng);
+            self.push(sends, rng, &mut actions);
+        }
+        if self.announce(now, load) {
+            self.push(1, rng, &mut actions);
+        }
+        actions
+    }
+
+    /// Answers a claim as a witness.
+    pub fn on_claim(&mut self, now: Monotonic, claim: &Claim) -> ClaimReply {
+        self.hear(now, &claim.claimant);
+        let witnesses = placement::witnesses(&self.operational.config, &claim.seat);
+        if !witnesses.contains(&self.me) {
+            return ClaimReply::NotWitness;
+        }
+        self.witness.on_claim(now, claim)
+    }
+
+    /// Takes in a witness's answer to a claim sent at `sent_at`.
+    pub fn on_claim_reply(
+        &mut self,
+        now: Monotonic,
+        from: &HostId,
+        seat: &HostId,
+        sent_at: Monotonic,
+        reply: &ClaimReply,
+    ) {
+        self.hear(now, from);
+        if let ClaimReply::Granted { epoch, wanted } = reply
+            && let Some(lease) = self.seats.get_mut(seat)
+        {
+            lease.on_granted(from, sent_at, *epoch, *wanted);
+            lease.refresh(now);
+        }
+    }
+
+    /// Takes in that a holder let go of a seat.
+    pub fn on_release(&mut self, now: Monotonic, release: &Release) {
+        self.hear(now, &release.holder);
+        self.witness.on_release(now, release);
+    }
+
+    /// Takes in a gossip message.
+    pub fn on_push(
+        &mut self,
+        now: Monotonic,
+        push: &Push,
+        rng: &mut impl Rng,
+    ) -> (Received, Vec<Action>) {
+        self.hear(now, &push.from);
+        let received = self.gossip.on_push(now, push, rng);
+        let mut actions = Vec::new();
+        self.push(received.sends, rng, &mut actions);
+        (received, actions)
+    }
+
+    /// Returns the snapshot for the request path.
+    pub fn view(&mut self, now: Monotonic) -> LeaseView {
+        let mut held = HashMap::new();
+        for (seat, lease) in &mut self.seats {
+            if lease.refresh(now)
+                && let (Some(until), Some(since)) = (lease.until(now), lease.held_since())
+            {
+                held.insert(seat.clone(), Held { until, since });
+            }
+        }
+        LeaseView {
+            holders: self.holders(now),
+            live: self.live(now),
+            resigned: !self.is_in(&self.me),
+            held,
+        }
+    }
+
+    /// Returns every host that was heard of lately and is neither leaving nor taken out.
+    fn live(&self, now: Monotonic) -> HashMap<HostId, u32> {
+        let hosts = &self.operational.config.fleet.hosts;
+        let loads: HashMap<&HostId, u32> =
+            self.gossip.rumors().map(|(rumor, _)| (&rumor.host, rumor.load)).collect();
+        hosts
+            .iter()
+            .filter(|host| host.id != self.me && self.is_in(&host.id) && !self.silent(now, &host.id))
+            .map(|host| (host.id.clone(), loads.get(&host.id).copied().unwrap_or(0)))
+            .collect()
+    }
+
+    /// Returns the holder of each seat with the highest epoch among those who say they hold it.
+    fn holders(&self, now: Monotonic) -> HashMap<HostId, HostId> {
+        let mut best: HashMap<HostId, (u64, HostId)> = HashMap::new();
+        let heard = self.gossip.rumors().map(|(rumor, _)| rumor);
+        for rumor in heard.filter(|r| !self.silent(now, &r.host)).chain([self.gossip.own()]) {
+            for held in &rumor.holds {
+                let entry = best.entry(held.seat.clone()).or_insert((0, rumor.host.clone()));
+                if held.epoch > entry.0 {
+                    *entry = (held.epoch, rumor.host.clone());
+                }
+            }
+        }
+        best.into_iter().map(|(seat, (_, host))| (seat, host)).collect()
+    }
+
+    fn set_config(&mut self, now: Monotonic) {
+        let config = &self.operational.config;
+        self.gossip.set_config(config.version, config.content_hash());
+        for host in &config.fleet.hosts {
+            self.heard.entry(host.id.clone()).or_insert(now);
+        }
+        if config.host(&self.me).is_some() && !self.seats.contains_key(&self.me) {
+            let witnesses = placement::witnesses(config, &self.me);
+            let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
+            self.seats.insert(self.me.clone(), lease);
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        now: Monotonic,
+        in_flight: impl Fn(&HostId) -> u32,
+        actions: &mut Vec<Action>,
+    ) {
+        self.take_up_silent_seats(now);
+        let config = self.operational.config.clone();
+        let unfit: HashSet<HostId> =
+            self.seats.iter().filter(|(s, l)| self.must_let_go(s, l)).map(|(s, _)| s.clone()).collect();
+        let mut gone = Vec::new();
+        for (seat, lease) in &mut self.seats {
+            if unfit.contains(seat) {
+                lease.clear();
+                if in_flight(seat) > 0 {
+                    continue;
+                }
+                let release = Release {
+                    seat: seat.clone(),
+                    holder: self.me.clone(),
+                    incarnation: self.incarnation,
+                };
+                actions.extend(
+                    lease.witnesses().map(|w| Action::Release(w.clone(), release.clone())),
+                );
+                gone.push(seat.clone());
+                continue;
+            }
+            let claim = Claim {
+                seat: seat.clone(),
+                claimant: self.me.clone(),
+                incarnation: self.incarnation,
+                epoch: lease.epoch(),
+            };
+            let witnesses: SmallVec<[HostId; 8]> = lease.witnesses().cloned().collect();
+            let standbys = placement::candidates(&config, seat);
+            let listeners = standbys.iter().skip(1).take(LISTENING_STANDBYS);
+            let listeners = listeners.filter(|h| **h != self.me && !witnesses.contains(*h));
+            for host in witnesses.iter().chain(listeners) {
+                actions.push(Action::Claim(host.clone(), claim.clone()));
+            }
+        }
+        for seat in gone {
+            self.seats.remove(&seat);
+        }
+        if self.is_in(&self.me) {
+            self.set_config(now);
+        }
+    }
+
+    /// Claims each seat whose better-ranked candidates are all out, leaving or silent.
+    fn take_up_silent_seats(&mut self, now: Monotonic) {
+        if !self.is_in(&self.me) {
+            return;
+        }
+        let config = self.operational.config.clone();
+        for host in &config.fleet.hosts {
+            let seat = &host.id;
+            if self.seats.contains_key(seat) {
+                continue;
+            }
+            let better = self.operational.candidates(seat).iter().take_while(|c| **c != self.me);
+            if better.into_iter().all(|c| !self.is_in(c) || self.silent(now, c)) {
+                let witnesses = placement::witnesses(&config, seat);
+                let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
+                self.seats.insert(seat.clone(), lease);
+            }
+        }
+    }
+
+    fn must_let_go(&self, seat: &HostId, lease: &SeatLease) -> bool {
+        let unwanted = self.operational.config.host(seat).is_none();
+        let returned = *seat != self.me && lease.wanted();
+        !self.is_in(&self.me) || unwanted || returned
+    }
+
+    /// Tells whether a host takes part: operators let it, and it does not say that it leaves.
+    fn is_in(&self, host: &HostId) -> bool {
+        let allowed = self
+            .operational
+            .config
+            .host(host)
+            .is_some_and(|host| self.operational.host_is_in(host));
+        let leaving = if *host == self.me {
+            self.leaving
+        } else {
+            self.gossip.rumors().any(|(rumor, _)| rumor.host == *host && rumor.leaving)
+        };
+        allowed && !leaving
+    }
+
+    fn silent(&self, now: Monotonic, host: &HostId) -> bool {
+        let lease = self.operational.config.fleet.timing.lease();
+        self.heard.get(host).is_none_or(|at| now > *at + lease)
+    }
+
+    fn hear(&mut self, now: Monotonic, host: &HostId) {
+        self.heard.insert(host.clone(), now);
+    }
+
+    fn announce(&mut self, now: Monotonic, load: u32) -> bool {
+        let mut holds = SmallVec::new();
+        for (seat, lease) in &mut self.seats {
+            if lease.refresh(now) {
+                holds.push(HeldSeat { seat: seat.clone(), epoch: lease.epoch() });
+            }
+        }
+        self.gossip.set_own(now, self.leaving, load, holds)
+    }
+
+    fn push(&mut self, sends: u32, rng: &mut impl Rng, actions: &mut Vec<Action>) {
+        let hosts = &self.operational.config.fleet.hosts;
+        let peers: Vec<&HostId> = hosts.iter().map(|h| &h.id).filter(|h| **h != self.me).collect();
+        for _ in 0..sends {
+            if let Some(peer) = peers.choose(rng) {
+                actions.push(Action::Push((*peer).clone(), self.gossip.message()));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/process/pause/tests.rs
@@ -0,0 +1,30 @@
+//! Tests of the `pause` module.
+
+use super::*;
+
+#[test]
+fn sending_waits_from_the_pause_until_word_from_outside() {
+    let ms = Duration::from_millis;
+    let mut guard = PauseGuard::new(ms(0));
+    assert_eq!(guard.tick(ms(50)), None);
+    assert!(!guard.must_wait(ms(450)));
+    assert!(guard.must_wait(ms(451)), "noticed before the next tick");
+    assert_eq!(guard.tick(ms(900)), Some(ms(850)));
+    assert_eq!(guard.tick(ms(950)), None);
+    assert!(guard.must_wait(ms(950)));
+    guard.on_confirmed();
+    assert!(!guard.must_wait(ms(950)));
+}
+
+#[test]
+fn an_isolated_process_goes_on_after_a_while() {
+    let ms = Duration::from_millis;
+    let mut guard = PauseGuard::new(ms(0));
+    guard.tick(ms(2_000));
+    for n in 1..20 {
+        guard.tick(ms(2_000 + 50 * n));
+    }
+    assert!(guard.must_wait(ms(2_960)));
+    guard.tick(ms(3_000));
+    assert!(!guard.must_wait(ms(3_000)));
+}
--- /dev/null
+++ b/src/process/server_queue.rs
@@ -0,0 +1,139 @@
+//! The queue of one backend server at its owner.
+//!
+//! Work is served by class, then earliest deadline first. Work that can't make its deadline is
+//! refused when it arrives, so that the caller hears at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Monotonic;
+use crate::outcome::NotRunReason;
+use crate::version::config::Priority;
+
+/// The most entries in one queue.
+pub const MAX_QUEUED: usize = 256;
+/// The weight of the newest sample in the moving average of the service time, as a divisor.
+const AVERAGE_DIVISOR: u32 = 8;
+
+type Place = (Priority, Monotonic, u64);
+
+/// Identifies an entry until it is popped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(Priority, Monotonic, u64);
+
+/// How early work is refused; a baseline for measurements takes everything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Refuses what is not expected to make its deadline.
+    Early,
+    /// Takes whatever fits into the queue.
+    Always,
+}
+
+/// A queue with the count of what is in flight behind it.
+#[derive(Debug)]
+pub struct ServerQueue<T> {
+    entries: BTreeMap<Place, T>,
+    next_seq: u64,
+    in_flight: u32,
+    service_time: Duration,
+    admission: Admission,
+}
+
+impl<T> ServerQueue<T> {
+    /// Starts empty with the published usual service time.
+    pub const fn new(typical: Duration, admission: Admission) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            next_seq: 0,
+            in_flight: 0,
+            service_time: typical,
+            admission,
+        }
+    }
+
+    /// Adds work, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused: nothing may be sent, the queue is full, or the deadline is
+    /// before the expected end.
+    pub fn push(
+        &mut self,
+        now: Monotonic,
+        priority: Priority,
+        deadline: Monotonic,
+        allowance: u32,
+        item: T,
+    ) -> Result<Ticket, NotRunReason> {
+        if allowance == 0 {
+            return Err(NotRunReason::NoPermission);
+        }
+        if self.entries.len() >= MAX_QUEUED {
+            return Err(NotRunReason::Overloaded);
+        }
+        let place = (priority, deadline, self.next_seq);
+        if deadline <= now {
+            return Err(NotRunReason::DeadlineTooClose);
+        }
+        if self.admission == Admission::Early && now + self.wait(place, allowance) > deadline {
+            return Err(NotRunReason::DeadlineTooClose);
+        }
+        self.next_seq += 1;
+        self.entries.insert(place, item);
+        Ok(Ticket(place.0, place.1, place.2))
+    }
+
+    /// Takes the next work to send; it counts as in flight until [`Self::finish`].
+    pub fn pop(&mut self, allowance: u32) -> Option<(Monotonic, T)> {
+        if self.in_flight >= allowance {
+            return None;
+        }
+        let ((_, deadline, _), item) = self.entries.pop_first()?;
+        self.in_flight += 1;
+        Some((deadline, item))
+    }
+
+    /// Removes work that is no longer wanted, if it was not popped yet.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        self.entries.remove(&(ticket.0, ticket.1, ticket.2))
+    }
+
+    /// Removes everything that waits.
+    pub fn drain(&mut self) -> Vec<T> {
+        std::mem::take(&mut self.entries).into_values().collect()
+    }
+
+    /// Takes in that a popped entry ended, and how long it took where that is known.
+    pub fn finish(&mut self, took: Option<Duration>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(took) = took {
+            let kept = self.service_time * (AVERAGE_DIVISOR - 1);
+            self.service_time = (kept + took) / AVERAGE_DIVISOR;
+        }
+    }
+
+    /// Returns how many requests are in flight.
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how many wait.
+    pub fn queued(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the expected time from now to the end of one more request of the last class.
+    pub fn expected(&self, allowance: u32) -> Duration {
+        self.wait((Priority::Low, Monotonic::MAX, u64::MAX), allowance)
+    }
+
+    fn wait(&self, place: Place, allowance: u32) -> Duration {
+        let ahead = self.entries.range(..place).count() + self.in_flight as usize;
+        let rounds = ahead / allowance.max(1) as usize + 1;
+        self.service_time * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/process/server_queue/tests.rs
@@ -0,0 +1,88 @@
+//! Tests of the `server_queue` module.
+
+use super::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn queue(admission: Admission) -> ServerQueue<&'static str> {
+    ServerQueue::new(MS(10), admission)
+}
+
+#[test]
+fn work_is_served_by_class_then_deadline() {
+    let mut queue = queue(Admission::Always);
+    let entries = [
+        (Priority::Low, 50, "low"),
+        (Priority::Normal, 90, "normal, later"),
+        (Priority::Normal, 80, "normal, sooner"),
+        (Priority::High, 99, "high"),
+    ];
+    for (priority, deadline, item) in entries {
+        queue.push(MS(0), priority, MS(deadline), 9, item).unwrap();
+    }
+    let served: Vec<_> = std::iter::from_fn(|| queue.pop(9).map(|(_, item)| item)).collect();
+    assert_eq!(served, ["high", "normal, sooner", "normal, later", "low"]);
+}
+
+#[test]
+fn what_cannot_make_its_deadline_is_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        in_flight: u32,
+        allowance: u32,
+        deadline_ms: u64,
+        result: Result<(), NotRunReason>,
+    }
+    let late = Err(NotRunReason::DeadlineTooClose);
+    let cases = [
+        Case { name: "idle", in_flight: 0, allowance: 2, deadline_ms: 10, result: Ok(()) },
+        Case { name: "idle, too close", in_flight: 0, allowance: 2, deadline_ms: 9, result: late },
+        Case { name: "one round", in_flight: 2, allowance: 2, deadline_ms: 20, result: Ok(()) },
+        Case { name: "one round, late", in_flight: 2, allowance: 2, deadline_ms: 19, result: late },
+        Case { name: "past", in_flight: 0, allowance: 2, deadline_ms: 0, result: late },
+        Case {
+            name: "nothing allowed",
+            in_flight: 0,
+            allowance: 0,
+            deadline_ms: 99,
+            result: Err(NotRunReason::NoPermission),
+        },
+    ];
+    for case in cases {
+        let mut queue = queue(Admission::Early);
+        for _ in 0..case.in_flight {
+            queue.push(MS(0), Priority::High, MS(999), 99, "running").unwrap();
+            queue.pop(99).unwrap();
+        }
+        let deadline = MS(case.deadline_ms);
+        let result = queue.push(MS(0), Priority::Normal, deadline, case.allowance, "new");
+        assert_eq!(result.map(|_| ()), case.result, "{}", case.name);
+    }
+}
+
+#[test]
+fn in_flight_never_exceeds_the_allowance() {
+    let mut queue = queue(Admission::Always);
+    for _ in 0..5 {
+        queue.push(MS(0), Priority::Normal, MS(99), 2, "x").unwrap();
+    }
+    assert_eq!(std::iter::from_fn(|| queue.pop(2)).count(), 2);
+    assert!(queue.pop(1).is_none(), "a lowered allowance holds at once");
+    queue.finish(Some(MS(10)));
+    assert!(queue.pop(1).is_none());
+    queue.finish(Some(MS(10)));
+    assert!(queue.pop(1).is_some());
+}
+
+#[test]
+fn a_full_queue_refuses() {
+    let mut queue = queue(Admission::Always);
+    for _ in 0..MAX_QUEUED {
+        queue.push(MS(0), Priority::Normal, MS(99), 2, "x").unwrap();
+    }
+    let refused = queue.push(MS(0), Priority::High, MS(99), 2, "y");
+    assert_eq!(refused, Err(NotRunReason::Overloaded));
+    let ticket = Ticket(Priority::Normal, MS(99), 0);
+    assert_eq!(queue.remove(ticket), Some("x"));
+    assert!(queue.push(MS(0), Priority::High, MS(99), 2, "y").is_ok());
+}
--- /dev/null
+++ b/src/process/temperature/tests.rs
@@ -0,0 +1,94 @@
+//! Tests of the `temperature` module.
+
+use super::*;
+
+const LIMITS: ServerLimits =
+    ServerLimits { slots: 4, connections: 100, cold_start_limit: 2, typical_ms: 10, connect_ms: 1 };
+
+enum Event {
+    Instance(&'static str),
+    Replies(u32, u64),
+    Shed,
+    Forget,
+}
+use Event::{Forget, Instance, Replies, Shed};
+
+#[test]
+fn warmth_follows_the_evidence() {
+    struct Case {
+        name: &'static str,
+        events: &'static [Event],
+        warmth: Warmth,
+    }
+    let cases = [
+        Case { name: "first contact", events: &[Instance("a")], warmth: Warmth::Cold },
+        Case {
+            name: "slow replies stay cold",
+            events: &[Instance("a"), Replies(100, 40)],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "seven fast replies are too few",
+            events: &[Instance("a"), Replies(7, 9)],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "the ramp starts",
+            events: &[Instance("a"), Replies(8, 9)],
+            warmth: Warmth::Ramping(3),
+        },
+        Case {
+            name: "the ramp ends",
+            events: &[Instance("a"), Replies(12, 9)],
+            warmth: Warmth::Warm,
+        },
+        Case {
+            name: "a new life is cold",
+            events: &[Instance("a"), Replies(12, 9), Instance("b")],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "the same life stays warm",
+            events: &[Instance("a"), Replies(12, 9), Instance("a")],
+            warmth: Warmth::Warm,
+        },
+        Case {
+            name: "one straggler is not a cold start",
+            events: &[Instance("a"), Replies(12, 9), Replies(1, 500)],
+            warmth: Warmth::Warm,
+        },
+        Case {
+            name: "a latency jump is",
+            events: &[Instance("a"), Replies(12, 9), Replies(4, 35)],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "shedding is",
+            events: &[Instance("a"), Replies(12, 9), Shed],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "nothing known",
+            events: &[Instance("a"), Replies(12, 9), Forget, Instance("a")],
+            warmth: Warmth::Cold,
+        },
+    ];
+    for case in cases {
+        let mut temperature = Temperature::default();
+        for event in case.events {
+            match event {
+                Instance(id) => {
+                    temperature.on_instance(&InstanceId::from(*id));
+                }
+                Replies(count, took_ms) => {
+                    for _ in 0..*count {
+                        temperature.on_reply(Duration::from_millis(*took_ms), &LIMITS);
+                    }
+                }
+                Shed => temperature.on_shed(),
+                Forget => temperature.forget(),
+            }
+        }
+        assert_eq!(temperature.warmth(), case.warmth, "{}", case.name);
+    }
+}
