--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as a connection: to backend servers, to other hosts and to the platform.
+
+pub mod backend;
+pub(crate) mod fence;
+pub(crate) mod http_client;
+pub mod links;
+pub mod peer;
+pub(crate) mod peer_pool;
+pub mod platform;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,12 +5,17 @@
 //! `docs/ARCHITECTURE.md` for the way of one request.
 
 pub mod clock;
+pub mod connection;
 mod derive;
 mod error;
 pub mod ids;
 mod outcome;
+pub mod policy;
 pub mod process;
+pub mod request;
 pub mod version;
 
 pub use error::{Error, Result};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use policy::Policy;
+pub use process::host::{Host, HostBuilder, Settings};
--- /dev/null
+++ b/src/process/batches.rs
@@ -0,0 +1,181 @@
+//! Runs batches of shards for coordinators and merges the replies before they travel.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::context::Context;
+use super::owner::{Owner, ShardJob};
+use crate::clock::{Monotonic, micros};
+use crate::connection::backend::RunRequest;
+use crate::connection::peer::{Batch, BatchId, BatchItem, Part, ShardReport};
+use crate::ids::ShardId;
+use crate::outcome::Outcome;
+use crate::request::query::{Row, merge_rows};
+use crate::version::config::Kind;
+
+/// How long a part waits for more replies once it has one.
+const GATHER_WAIT: Duration = Duration::from_millis(1);
+/// How long an unfinished batch is kept after its deadline.
+const KEEP_AFTER_DEADLINE: Duration = Duration::from_millis(100);
+
+/// The batches that this host runs.
+#[derive(Debug)]
+pub(crate) struct Batches {
+    context: Arc<Context>,
+    owner: Arc<Owner>,
+    open: Mutex<HashMap<BatchId, OpenBatch>>,
+    cancels: Mutex<HashMap<BatchId, Vec<(ShardId, CancellationToken)>>>,
+}
+
+#[derive(Debug)]
+struct OpenBatch {
+    results: mpsc::UnboundedReceiver<(ShardReport, Vec<Row>)>,
+    pending: u32,
+    kind: Kind,
+    limit: usize,
+    _stop: DropGuard,
+}
+
+impl Batches {
+    pub(crate) fn new(context: Arc<Context>, owner: Arc<Owner>) -> Arc<Self> {
+        let (open, cancels) = (Mutex::default(), Mutex::default());
+        Arc::new(Self { context, owner, open, cancels })
+    }
+
+    /// Runs a batch; returns when it is done or its flush time has come.
+    ///
+    /// Dropping the future stops the batch.
+    pub(crate) async fn run(self: &Arc<Self>, batch: Batch) -> Part {
+        let deadline = Duration::from_micros(batch.deadline_us);
+        let flush = Instant::now() + Duration::from_millis(batch.flush_ms);
+        let id = batch.id;
+        let mut open = self.start(batch, deadline);
+        let part = open.gather(flush).await;
+        self.keep(id, open, deadline);
+        part
+    }
+
+    /// Waits for more of a batch; an unknown one has nothing pending.
+    pub(crate) async fn collect(self: &Arc<Self>, id: BatchId, deadline: Monotonic) -> Part {
+        let taken = self.open.lock().expect("no holder of the lock panics").remove(&id);
+        let Some(mut open) = taken else {
+            return Part { ended: Vec::new(), rows: Vec::new(), pending: 0 };
+        };
+        let part = open.gather(Instant::now()).await;
+        self.keep(id, open, deadline);
+        part
+    }
+
+    /// Stops some shards of a batch.
+    pub(crate) fn cancel(&self, id: BatchId, shards: &[ShardId]) {
+        let cancels = self.cancels.lock().expect("no holder of the lock panics");
+        let tokens = cancels.get(&id).into_iter().flatten();
+        for (_, token) in tokens.filter(|(shard, _)| shards.contains(shard)) {
+            token.cancel();
+        }
+    }
+
+    fn start(self: &Arc<Self>, batch: Batch, deadline: Monotonic) -> OpenBatch {
+        let stop = CancellationToken::new();
+        let (sender, results) = mpsc::unbounded_channel();
+        let mut tokens = Vec::with_capacity(batch.items.len());
+        for item in &batch.items {
+            let cancel = stop.child_token();
+            tokens.push((item.shard, cancel.clone()));
+            let job = shard_job(&batch, item, deadline);
+            let (owner, sender, item) = (self.owner.clone(), sender.clone(), item.clone());
+            tokio::spawn(async move {
+                let result = owner.run(job, cancel).await;
+                let report = ShardReport {
+                    shard: item.shard,
+                    server: item.server,
+                    expected_us: micros(result.expected),
+                    warm: result.warm,
+                    outcome: result.outcome.clone().map(|_| ()),
+                };
+                let rows = match result.outcome {
+                    Outcome::Answered(rows) => rows,
+                    Outcome::NotRun(_) | Outcome::Unknown(_) => Vec::new(),
+                };
+                let _ = sender.send((report, rows));
+            });
+        }
+        self.cancels.lock().expect("no holder of the lock panics").insert(batch.id, tokens);
+        self.forget_after(batch.id, deadline);
+        OpenBatch {
+            results,
+            pending: u32::try_from(batch.items.len()).unwrap_or(u32::MAX),
+            kind: batch.kind,
+            limit: batch.query.limit as usize,
+            _stop: stop.drop_guard(),
+        }
+    }
+
+    fn keep(&self, id: BatchId, open: OpenBatch, deadline: Monotonic) {
+        if open.pending > 0 && self.context.clock.now() < deadline + KEEP_AFTER_DEADLINE {
+            self.open.lock().expect("no holder of the lock panics").insert(id, open);
+        }
+    }
+
+    fn forget_after(self: &Arc<Self>, id: BatchId, deadline: Monotonic) {
+        let batches = self.clone();
+        let at = self.context.clock.instant(deadline + KEEP_AFTER_DEADLINE);
+        tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            batches.open.lock().expect("no holder of the lock panics").remove(&id);
+            batches.cancels.lock().expect("no holder of the lock panics").remove(&id);
+        });
+    }
+}
+
+impl OpenBatch {
+    /// Collects results until all have ended, or until `flush` has passed and one has come.
+    async fn gather(&mut self, flush: Instant) -> Part {
+        let mut ended = Vec::new();
+        let mut rows = Vec::new();
+        while self.pending > 0 {
+            let wait = if ended.is_empty() && Instant::now() >= flush {
+                self.results.recv().await
+            } else {
+                let until = flush.max(Instant::now() + GATHER_WAIT);
+                match tokio::time::timeout_at(until, self.results.recv()).await {
+                    Ok(result) => result,
+                    Err(_) if ended.is_empty() => continue,
+                    Err(_) => break,
+                }
+            };
+            let Some((report, more)) = wait else { break };
+            self.pending -= 1;
+            ended.push(report);
+            rows.extend(more);
+        }
+        if self.kind == Kind::Listing {
+            rows = merge_rows(rows, self.limit);
+        }
+        Part { ended, rows, pending: self.pending }
+    }
+}
+
+fn shard_job(batch: &Batch, item: &BatchItem, deadline: Monotonic) -> ShardJob {
+    ShardJob {
+        server: item.server.clone(),
+        deadline,
+        request: RunRequest {
+            attempt: item.attempt,
+            request_id: batch.query.request_id.clone(),
+            service: batch.query.service.clone(),
+            kind: batch.kind,
+            shard: item.shard,
+            index_version: batch.index_version,
+            deadline_ms: 0,
+            term: batch.query.term.clone(),
+            key: batch.query.key.clone(),
+            limit: batch.query.limit,
+        },
+    }
+}
--- /dev/null
+++ b/src/process/config_watch.rs
@@ -0,0 +1,217 @@
+//! Brings configurations from the platform and from peers into force.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context as MessageContext, Message};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::config_store::ConfigStore;
+use super::context::Context;
+use super::membership_actor::{Adopted, MembershipActor};
+use crate::connection::peer::PeerClient;
+use crate::connection::peer_pool::dial;
+use crate::connection::platform::{Platform, WATCH_WAIT};
+use crate::error::Result;
+use crate::ids::{HostId, ServerId};
+use crate::version::config::Config;
+use crate::version::operational::Operational;
+
+/// How long to wait after a failed call to the platform.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How often the list of hosts is read.
+const HOSTS_EVERY: Duration = Duration::from_secs(2);
+/// How long a peer may take to hand a version over.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a starting process goes on listening once it has heard of a version.
+const BOOTSTRAP_WINDOW: Duration = Duration::from_millis(700);
+const BOOTSTRAP_RETRY: Duration = Duration::from_millis(200);
+
+/// Holds the configuration in force and publishes what follows from it.
+#[derive(Actor)]
+pub(crate) struct ConfigActor {
+    context: Arc<Context>,
+    store: ConfigStore,
+    leaving: HashSet<ServerId>,
+    membership: ActorRef<MembershipActor>,
+}
+
+impl ConfigActor {
+    pub(crate) fn new(
+        context: Arc<Context>,
+        store: ConfigStore,
+        membership: ActorRef<MembershipActor>,
+    ) -> Self {
+        Self { context, store, leaving: HashSet::new(), membership }
+    }
+
+    async fn publish(&self) {
+        let operational = Operational::new(self.store.current().clone(), &self.leaving);
+        let operational = Arc::new(operational);
+        let old = self.context.operational.swap(operational.clone());
+        if old.config.fleet.hosts != operational.config.fleet.hosts {
+            let now = self.context.clock.now();
+            *self.context.placed_at.lock().expect("no holder of the lock panics") = now;
+        }
+        let _ = self.membership.tell(Adopted(operational)).await;
+    }
+}
+
+/// A version from somewhere.
+pub(crate) struct Offer {
+    config: Config,
+    source: &'static str,
+}
+
+/// The platform's list of leaving servers.
+struct Leaving(HashSet<ServerId>);
+
+impl Message<Offer> for ConfigActor {
+    type Reply = ();
+
+    async fn handle(&mut self, offer: Offer, _: &mut MessageContext<Self, ()>) {
+        let (version, source) = (offer.config.version, offer.source);
+        match self.store.offer(offer.config) {
+            Ok(true) => {
+                tracing::info!(host = %self.context.me, version, source, "configuration in force");
+                self.context.metrics.config_version();
+                self.publish().await;
+            }
+            Ok(false) => {}
+            Err(error) => tracing::error!(version, source, %error, "configuration refused"),
+        }
+    }
+}
+
+impl Message<Leaving> for ConfigActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Leaving(leaving): Leaving, _: &mut MessageContext<Self, ()>) {
+        if leaving != self.leaving {
+            tracing::info!(count = leaving.len(), "the platform's list of leaving servers changed");
+            self.leaving = leaving;
+            self.publish().await;
+        }
+    }
+}
+
+/// Watches the platform's configuration service until the host stops.
+pub(crate) async fn watch_versions(
+    context: Arc<Context>,
+    platform: Platform,
+    actor: ActorRef<ConfigActor>,
+) {
+    loop {
+        let held = context.operational.load().config.clone();
+        let offered = async {
+            let manifest = platform.watch(held.version, WATCH_WAIT).await?;
+            if manifest == held.manifest() || manifest.version < held.version {
+                return Ok(None);
+            }
+            platform.fetch(&manifest, Some(&held)).await.map(Some)
+        };
+        let reached = context.links.reaches_platform(&context.me);
+        match offered.await {
+            Ok(Some(config)) if reached => {
+                let _ = actor.tell(Offer { config, source: "platform" }).await;
+            }
+            Ok(None) if reached => tokio::time::sleep(RETRY_AFTER / 10).await,
+            Ok(_) => tokio::time::sleep(RETRY_AFTER).await,
+            Err(error) => {
+                tracing::warn!(%error, "the configuration service can't be read");
+                tokio::time::sleep(RETRY_AFTER).await;
+            }
+        }
+    }
+}
+
+/// Reads the platform's list of hosts until the host stops.
+pub(crate) async fn watch_hosts(
+    context: Arc<Context>,
+    platform: Platform,
+    actor: ActorRef<ConfigActor>,
+) {
+    loop {
+        if context.links.reaches_platform(&context.me)
+            && let Ok(list) = platform.hosts().await
+        {
+            let _ = actor.tell(Leaving(list.leaving_servers.into_iter().collect())).await;
+        }
+        tokio::time::sleep(HOSTS_EVERY).await;
+    }
+}
+
+/// Fetches versions from peers that have newer ones.
+pub(crate) async fn fetch_from_peers(
+    context: Arc<Context>,
+    mut newer_at: mpsc::UnboundedReceiver<HostId>,
+    actor: ActorRef<ConfigActor>,
+) {
+    while let Some(host) = newer_at.recv().await {
+        let version = context.operational.load().config.version;
+        let Some(address) = context.address(&host) else { continue };
+        let call = |client: PeerClient, ctx| async move { client.config_above(ctx, version).await };
+        if let Ok(Some(config)) = context.peers.call(&address, FETCH_TIMEOUT, call).await {
+            let _ = actor.tell(Offer { config, source: "peer" }).await;
+        }
+    }
+}
+
+/// Finds the first configuration of a starting process: the highest that the platform and the
+/// peers have, since either may be stale or out of reach.
+pub(crate) async fn bootstrap(platform: Option<Platform>, peers: &[SocketAddr]) -> ConfigStore {
+    loop {
+        let (found, mut inbox) = mpsc::unbounded_channel();
+        let mut tasks: tokio::task::JoinSet<Result<()>> = tokio::task::JoinSet::new();
+        if let Some(platform) = platform {
+            let found = found.clone();
+            tasks.spawn(async move {
+                let manifest = platform.watch(0, Duration::ZERO).await?;
+                let config = platform.fetch(&manifest, None).await?;
+                let _ = found.send(config);
+                Ok(())
+            });
+        }
+        for addr in peers.iter().copied() {
+            let found = found.clone();
+            tasks.spawn(async move {
+                let asked = async {
+                    let client = dial(addr).await?;
+                    client.config_above(tarpc::context::current(), 0).await.ok()?
+                };
+                if let Ok(Some(config)) = tokio::time::timeout(FETCH_TIMEOUT, asked).await {
+                    let _ = found.send(config);
+                }
+                Ok(())
+            });
+        }
+        drop(found);
+        if let Some(store) = highest(&mut inbox).await {
+            return store;
+        }
+        tokio::time::sleep(BOOTSTRAP_RETRY).await;
+    }
+}
+
+async fn highest(inbox: &mut mpsc::UnboundedReceiver<Config>) -> Option<ConfigStore> {
+    let mut store: Option<ConfigStore> = None;
+    let mut until = Instant::now() + FETCH_TIMEOUT;
+    while let Ok(Some(config)) = tokio::time::timeout_at(until, inbox.recv()).await {
+        let offered = match &mut store {
+            Some(store) => store.offer(config).map(|_| ()),
+            None => ConfigStore::new(config).map(|first| {
+                store = Some(first);
+                until = Instant::now() + BOOTSTRAP_WINDOW;
+            }),
+        };
+        if let Err(error) = offered {
+            tracing::error!(%error, "configuration refused");
+        }
+    }
+    store
+}
--- /dev/null
+++ b/src/process/context.rs
@@ -0,0 +1,103 @@
+//! What every part of a running host shares.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use tokio_util::sync::CancellationToken;
+
+use super::membership::LeaseView;
+use super::metrics::Metrics;
+use super::pause::PauseGuard;
+use super::permission::Role;
+use crate::clock::{Clock, Monotonic};
+use crate::connection::links::Links;
+use crate::connection::peer_pool::{PeerAddress, PeerPool};
+use crate::ids::{DomainId, HostId, Incarnation};
+use crate::policy::Policy;
+use crate::version::operational::Operational;
+
+/// The state that outlives requests, connections and versions.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub(crate) me: HostId,
+    pub(crate) domain: DomainId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) policy: Policy,
+    pub(crate) links: Arc<Links>,
+    pub(crate) peers: PeerPool,
+    pub(crate) metrics: Metrics,
+    /// The newest operational state; requests in progress read it at every dispatch.
+    pub(crate) operational: ArcSwap<Operational>,
+    /// The newest snapshot of leases.
+    pub(crate) leases: ArcSwap<LeaseView>,
+    pub(crate) pause: Mutex<PauseGuard>,
+    /// When the placement of seats last changed.
+    pub(crate) placed_at: Mutex<Monotonic>,
+    /// Requests of callers that are running.
+    pub(crate) running: AtomicU32,
+    /// Set once the host leaves.
+    pub(crate) leaving: CancellationToken,
+    /// Set once the host stops.
+    pub(crate) stopped: CancellationToken,
+}
+
+impl Context {
+    /// Returns what this host is to a seat now.
+    pub(crate) fn role(&self, seat: &HostId) -> Role {
+        if !self.policy.owners {
+            return Role::Holder;
+        }
+        self.leases.load().role(self.clock.now(), &self.me, seat)
+    }
+
+    /// Returns until when this host may send as the holder of a seat.
+    pub(crate) fn held_until(&self, seat: &HostId) -> Option<Monotonic> {
+        if !self.policy.owners {
+            return Some(Monotonic::MAX);
+        }
+        self.leases.load().held.get(seat).map(|held| held.until)
+    }
+
+    /// Returns the host to ask for a seat's servers: its holder as far as known, else its own.
+    pub(crate) fn holder(&self, seat: &HostId) -> HostId {
+        if !self.policy.owners {
+            return self.me.clone();
+        }
+        self.leases.load().holders.get(seat).unwrap_or(seat).clone()
+    }
+
+    /// Returns where a host is reached by its peers.
+    pub(crate) fn address(&self, host: &HostId) -> Option<PeerAddress> {
+        let operational = self.operational.load();
+        let host = operational.config.host(host)?;
+        Some(PeerAddress {
+            host: host.id.clone(),
+            domain: host.domain.clone(),
+            addr: host.peer_addr,
+        })
+    }
+
+    /// Tells whether sending must wait for word from outside after a pause.
+    pub(crate) fn must_wait(&self) -> bool {
+        let now = self.clock.now();
+        self.pause.lock().expect("no holder of the lock panics").must_wait(now)
+    }
+
+    /// Takes in word from outside, asked for at `asked_at`, that confirms the configuration in
+    /// force.
+    pub(crate) fn confirm(&self, asked_at: Monotonic) {
+        self.pause.lock().expect("no holder of the lock panics").on_confirmed(asked_at);
+    }
+
+    /// Tells whether callers may be sent here: the host is not leaving, operators let it take
+    /// part, and it has had the time to take its seat.
+    pub(crate) fn is_ready(&self) -> bool {
+        let operational = self.operational.load();
+        let allowed =
+            operational.config.host(&self.me).is_some_and(|host| operational.host_is_in(host));
+        let settled = self.clock.now() > operational.config.fleet.timing.lease();
+        allowed && settled && !self.leaving.is_cancelled()
+    }
+}
--- /dev/null
+++ b/src/process/latency.rs
@@ -0,0 +1,45 @@
+//! Tracks the latency of shards over the recent past.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::clock::micros;
+
+/// Samples after which the older half is forgotten.
+const ROTATE_AFTER: u64 = 4_000;
+/// Samples below which nothing is said.
+const MIN_SAMPLES: u64 = 100;
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Two histograms in turn, so that old samples fade.
+#[derive(Debug, Clone)]
+pub struct LatencyTracker {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+}
+
+impl Default for LatencyTracker {
+    fn default() -> Self {
+        let empty = Histogram::new_with_bounds(1, MAX_LATENCY_US, 2).expect("the bounds are valid");
+        Self { current: empty.clone(), previous: empty }
+    }
+}
+
+impl LatencyTracker {
+    /// Takes in one sample.
+    pub fn record(&mut self, took: Duration) {
+        self.current.saturating_record(micros(took).max(1));
+        if self.current.len() >= ROTATE_AFTER {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+        }
+    }
+
+    /// Returns a quantile of the recent past, or `None` while there are too few samples.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        let source = if self.previous.is_empty() { &self.current } else { &self.previous };
+        let value = source.value_at_quantile(quantile);
+        (source.len() >= MIN_SAMPLES).then(|| Duration::from_micros(value))
+    }
+}
--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,112 @@
+//! The metrics of a host, by OpenTelemetry, read on a scrape endpoint.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+const LATENCY_BOUNDS_MS: [f64; 12] =
+    [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 92.0, 150.0, 300.0, 600.0, 1_500.0, 5_000.0];
+
+/// The instruments of one host.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    shards_missing: Counter<u64>,
+    attempts: Counter<u64>,
+    cold_turns: Counter<u64>,
+    pauses: Counter<u64>,
+    config_versions: Counter<u64>,
+    seat_changes: Counter<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry has no conflicting collector");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("quetzalpoint");
+        Self {
+            requests: meter
+                .u64_counter("requests")
+                .with_description("Requests of callers by service and outcome")
+                .build(),
+            latency: meter
+                .f64_histogram("request_latency_ms")
+                .with_description("Time from admission to answer in milliseconds")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            shards_missing: meter
+                .u64_counter("shards_missing")
+                .with_description("Shards that answers do not cover, by service")
+                .build(),
+            attempts: meter
+                .u64_counter("attempts")
+                .with_description("Attempts at shards by kind: first, retry or hedge")
+                .build(),
+            cold_turns: meter
+                .u64_counter("cold_turns")
+                .with_description("Times that a backend server was found cold")
+                .build(),
+            pauses: meter
+                .u64_counter("pauses")
+                .with_description("Times that this process did not run for a while")
+                .build(),
+            config_versions: meter
+                .u64_counter("config_versions")
+                .with_description("Configuration versions adopted")
+                .build(),
+            seat_changes: meter
+                .u64_counter("seat_changes")
+                .with_description("Seats taken or given up")
+                .build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    pub(crate) fn request(&self, service: &str, outcome: &'static str, took_ms: f64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+        self.latency.record(took_ms, &labels[..1]);
+    }
+
+    pub(crate) fn missing(&self, service: &str, count: u64) {
+        self.shards_missing.add(count, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    pub(crate) fn attempts(&self, kind: &'static str, count: u64) {
+        self.attempts.add(count, &[KeyValue::new("kind", kind)]);
+    }
+
+    pub(crate) fn cold_turn(&self) {
+        self.cold_turns.add(1, &[]);
+    }
+
+    pub(crate) fn pause(&self) {
+        self.pauses.add(1, &[]);
+    }
+
+    pub(crate) fn config_version(&self) {
+        self.config_versions.add(1, &[]);
+    }
+
+    pub(crate) fn seat_change(&self) {
+        self.seat_changes.add(1, &[]);
+    }
+
+    /// Returns all metrics as text for a scrape.
+    pub(crate) fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
--- /dev/null
+++ b/src/process/owner.rs
@@ -0,0 +1,492 @@
+//! Sends work to the backend servers of the seats that this host holds.
+//!
+//! First attempts, retries and hedges all pass the same gate, which reads the newest operational
+//! state and lease directly before a request is written; see `docs/ARCHITECTURE.md`.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use super::context::Context;
+use super::permission::{Role, Warmth, allowance};
+use super::server_queue::{ServerQueue, Ticket};
+use super::temperature::Temperature;
+use crate::clock::{Monotonic, micros, millis};
+use crate::connection::backend::{BackendConnection, RunRequest};
+use crate::ids::{AttemptId, HostId, ServerId};
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::request::query::Row;
+use crate::version::operational::ServerEntry;
+
+/// How long to wait for a reply beyond the deadline that the server was given.
+const REPLY_GRACE: Duration = Duration::from_millis(1_000);
+/// How long a caller's side waits beyond the deadline for the outcome.
+const OUTCOME_GRACE: Duration = Duration::from_millis(10);
+/// When to look again after a pause.
+const PAUSE_RECHECK: Duration = Duration::from_millis(20);
+/// How long a server that says it drains gets no new work.
+const DRAIN_HOLD: Duration = Duration::from_secs(2);
+/// Connections kept beside one for each slot, so that a cancellation finds one.
+const SPARE_CONNECTIONS: usize = 1;
+
+/// What a coordinator wants from one shard.
+#[derive(Debug)]
+pub(crate) struct ShardJob {
+    pub(crate) server: ServerId,
+    pub(crate) request: RunRequest,
+    pub(crate) deadline: Monotonic,
+}
+
+/// What became of it, with hints for the choice of the next replica.
+#[derive(Debug)]
+pub(crate) struct ShardResult {
+    pub(crate) outcome: Outcome<Vec<Row>>,
+    pub(crate) expected: Duration,
+    pub(crate) warm: bool,
+}
+
+#[derive(Debug)]
+struct Job {
+    request: RunRequest,
+    deadline: Monotonic,
+    cancel: CancellationToken,
+    done: oneshot::Sender<Outcome<Vec<Row>>>,
+}
+
+#[derive(Debug)]
+struct OnWire {
+    attempt: AttemptId,
+    idempotent: bool,
+    cancel: CancellationToken,
+}
+
+#[derive(Debug)]
+struct OwnedServer {
+    id: ServerId,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    queue: ServerQueue<Job>,
+    temperature: Temperature,
+    idle: Vec<BackendConnection>,
+    on_wire: Vec<OnWire>,
+    draining_until: Monotonic,
+}
+
+/// What the gate grants.
+struct Permit {
+    entry: ServerEntry,
+    allowance: u32,
+    valid_until: Monotonic,
+    warm: bool,
+}
+
+/// The owned servers of a host.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    context: Arc<Context>,
+    servers: Mutex<HashMap<ServerId, Arc<OwnedServer>>>,
+}
+
+impl Owner {
+    pub(crate) fn new(context: Arc<Context>) -> Arc<Self> {
+        Arc::new(Self { context, servers: Mutex::new(HashMap::new()) })
+    }
+
+    /// Returns how many requests are in flight at the servers of a seat.
+    pub(crate) fn in_flight(&self, seat: &HostId) -> u32 {
+        let operational = self.context.operational.load();
+        let servers = self.servers.lock().expect("no holder of the lock panics");
+        servers
+            .values()
+            .filter(|s| operational.server(&s.id).is_some_and(|entry| entry.seat == *seat))
+            .map(|s| s.lock().queue.in_flight())
+            .sum()
+    }
+
+    /// Forgets what was believed of a seat's servers, whose new owner starts from nothing.
+    pub(crate) fn forget(&self, seat: &HostId) {
+        let operational = self.context.operational.load();
+        let servers = self.servers.lock().expect("no holder of the lock panics");
+        for server in servers.values() {
+            if operational.server(&server.id).is_some_and(|entry| entry.seat == *seat) {
+                let mut state = server.lock();
+                state.temperature.forget();
+                state.idle.clear();
+            }
+        }
+    }
+
+    /// Runs one shard's job to its outcome, or to its deadline.
+    pub(crate) async fn run(
+        self: &Arc<Self>,
+        job: ShardJob,
+        cancel: CancellationToken,
+    ) -> ShardResult {
+        let deadline = job.deadline;
+        let Some(server) = self.server(&job.server) else {
+            return ShardResult {
+                outcome: Outcome::NotRun(NotRunReason::ServerLeaving),
+                expected: Duration::ZERO,
+                warm: false,
+            };
+        };
+        let outcome = match self.enqueue(&server, job, cancel.clone()) {
+            Ok((ticket, done)) => {
+                self.pump(&server);
+                self.await_outcome(&server, ticket, done, deadline, cancel).await
+            }
+            Err(reason) => Outcome::NotRun(reason),
+        };
+        let state = server.lock();
+        let permit = self.permit(&server, &state);
+        let allowance = permit.as_ref().map_or(0, |permit| permit.allowance);
+        ShardResult {
+            outcome,
+            expected: state.queue.expected(allowance),
+            warm: permit.is_ok_and(|permit| permit.warm),
+        }
+    }
+
+    fn server(&self, id: &ServerId) -> Option<Arc<OwnedServer>> {
+        let mut servers = self.servers.lock().expect("no holder of the lock panics");
+        if let Some(server) = servers.get(id) {
+            return Some(server.clone());
+        }
+        let operational = self.context.operational.load();
+        let entry = operational.server(id)?;
+        let typical = Duration::from_millis(entry.limits.typical_ms);
+        let state = State {
+            queue: ServerQueue::new(typical, self.context.policy.admission),
+            temperature: Temperature::default(),
+            idle: Vec::new(),
+            on_wire: Vec::new(),
+            draining_until: Monotonic::ZERO,
+        };
+        let server = Arc::new(OwnedServer { id: id.clone(), state: Mutex::new(state) });
+        servers.insert(id.clone(), server.clone());
+        Some(server)
+    }
+
+    fn enqueue(
+        &self,
+        server: &OwnedServer,
+        job: ShardJob,
+        cancel: CancellationToken,
+    ) -> Result<(Ticket, oneshot::Receiver<Outcome<Vec<Row>>>), NotRunReason> {
+        let now = self.context.clock.now();
+        let mut state = server.lock();
+        let permit = self.permit(server, &state)?;
+        let (done, outcome) = oneshot::channel();
+        let ShardJob { request, deadline, .. } = job;
+        let priority = permit.entry.priority;
+        let job = Job { request, deadline, cancel, done };
+        let ticket = state.queue.push(now, priority, deadline, permit.allowance, job)?;
+        Ok((ticket, outcome))
+    }
+
+    async fn await_outcome(
+        &self,
+        server: &OwnedServer,
+        ticket: Ticket,
+        mut done: oneshot::Receiver<Outcome<Vec<Row>>>,
+        deadline: Monotonic,
+        cancel: CancellationToken,
+    ) -> Outcome<Vec<Row>> {
+        let until = self.context.clock.instant(deadline);
+        let given_up = tokio::select! {
+            outcome = &mut done => return outcome.unwrap_or(Outcome::Unknown(UnknownReason::ConnectionLost)),
+            () = cancel.cancelled() => NotRunReason::Cancelled,
+            () = tokio::time::sleep_until(until) => NotRunReason::DeadlineTooClose,
+        };
+        if server.lock().queue.remove(ticket).is_some() {
+            return Outcome::NotRun(given_up);
+        }
+        match tokio::time::timeout(OUTCOME_GRACE, done).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => Outcome::Unknown(UnknownReason::TimedOut),
+        }
+    }
+
+    /// The gate: what may be in flight at a server now, and until when it may be sent.
+    fn permit(&self, server: &OwnedServer, state: &State) -> Result<Permit, NotRunReason> {
+        let operational = self.context.operational.load();
+        let entry = operational.gate(&server.id)?;
+        let now = self.context.clock.now();
+        if now < state.draining_until {
+            return Err(NotRunReason::Draining);
+        }
+        let role = self.context.role(&entry.seat);
+        let held_until = self.context.held_until(&entry.seat);
+        let warmth =
+            if self.context.policy.cold_ramp { state.temperature.warmth() } else { Warmth::Warm };
+        let valid_until = match role {
+            Role::Holder => held_until.unwrap_or(now),
+            Role::OwnerWithoutLease => Monotonic::MAX,
+            Role::Other => return Err(NotRunReason::NotOwner),
+        };
+        Ok(Permit {
+            allowance: allowance(role, warmth, &entry.limits),
+            entry: entry.clone(),
+            valid_until,
+            warm: warmth == Warmth::Warm,
+        })
+    }
+
+    /// Sends as much as the gate grants; refuses what waits where it grants nothing.
+    fn pump(self: &Arc<Self>, server: &Arc<OwnedServer>) {
+        loop {
+            let mut state = server.lock();
+            if self.context.must_wait() {
+                self.pump_later(server);
+                return;
+            }
+            let refused = match self.permit(server, &state) {
+                Ok(permit) if permit.allowance > 0 => {
+                    let Some((ticket, job)) = state.queue.pop(permit.allowance) else { return };
+                    drop(state);
+                    tokio::spawn(self.clone().attempt(server.clone(), ticket, job));
+                    continue;
+                }
+                Ok(_) => NotRunReason::NoPermission,
+                Err(reason) => reason,
+            };
+            for job in state.queue.drain() {
+                let _ = job.done.send(Outcome::NotRun(refused));
+            }
+            return;
+        }
+    }
+
+    fn pump_later(self: &Arc<Self>, server: &Arc<OwnedServer>) {
+        let (owner, server) = (self.clone(), server.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(PAUSE_RECHECK).await;
+            let waiting = server.lock().queue.queued() > 0;
+            if waiting {
+                owner.pump(&server);
+            }
+        });
+    }
+
+    async fn attempt(self: Arc<Self>, server: Arc<OwnedServer>, ticket: Ticket, job: Job) {
+        match self.connection(&server).await {
+            Some(connection) => self.send(&server, connection, ticket, job).await,
+            None => {
+                let mut state = server.lock();
+                state.temperature.forget();
+                state.queue.finish(None);
+                drop(state);
+                let _ = job.done.send(Outcome::NotRun(NotRunReason::Unreachable));
+            }
+        }
+        self.pump(&server);
+    }
+
+    /// Takes a warm connection or makes a new one.
+    async fn connection(&self, server: &OwnedServer) -> Option<BackendConnection> {
+        if let Some(connection) = server.lock().take_idle() {
+            return Some(connection);
+        }
+        let operational = self.context.operational.load_full();
+        let entry = operational.gate(&server.id).ok()?;
+        if !self.context.links.cross(&self.context.domain, &entry.domain).await {
+            return None;
+        }
+        let connection = BackendConnection::open(entry.addr, self.context.clock).await?;
+        let mut state = server.lock();
+        if state.temperature.on_instance(connection.instance()) {
+            tracing::info!(
+                server = %server.id, instance = %connection.instance(),
+                "the backend server is in a new life and counts as cold"
+            );
+            self.context.metrics.cold_turn();
+            state.idle.clear();
+            state.on_wire.clear();
+        }
+        Some(connection)
+    }
+
+    async fn send(
+        &self,
+        server: &OwnedServer,
+        mut connection: BackendConnection,
+        ticket: Ticket,
+        mut job: Job,
+    ) {
+        let Some(permit) = self.admit(server, &connection, &job) else {
+            self.put_back(server, connection, ticket, job);
+            return;
+        };
+        let now = self.context.clock.now();
+        let end = if permit.warm { job.deadline } else { job.deadline.min(permit.valid_until) };
+        job.request.deadline_ms = millis(end.saturating_sub(now));
+        let valid_until = permit.valid_until.min(job.deadline);
+        tracing::debug!(
+            request = %job.request.request_id, shard = job.request.shard, server = %server.id,
+            attempt = job.request.attempt, deadline_ms = job.request.deadline_ms, "sent"
+        );
+        let exchange = self.exchange(&permit.entry, &mut connection, &job.request, valid_until);
+        let limit = self.context.clock.instant(end + REPLY_GRACE);
+        let cancelled = self.forward_cancel(server, &job);
+        let result = tokio::select! {
+            result = exchange => Some(result),
+            () = async { cancelled.await; std::future::pending().await } => None,
+            () = tokio::time::sleep_until(limit) => None,
+        };
+        let took = self.context.clock.now().saturating_sub(now);
+        let (outcome, reusable) = match result {
+            Some(exchange) => (exchange.outcome, exchange.reusable),
+            None => (Outcome::Unknown(UnknownReason::TimedOut), false),
+        };
+        self.settle(server, &permit.entry, &job, &outcome, took);
+        if reusable {
+            server.lock().give_back(connection, permit.entry.limits.slots);
+        }
+        let _ = job.done.send(outcome);
+    }
+
+    /// Looks at everything again directly before the write; `None` where the work must wait.
+    fn admit(
+        &self,
+        server: &OwnedServer,
+        connection: &BackendConnection,
+        job: &Job,
+    ) -> Option<Permit> {
+        let mut state = server.lock();
+        let permit = self.permit(server, &state).ok()?;
+        let same_life = state.temperature.instance() == Some(connection.instance());
+        let room = state.on_wire.len() < permit.allowance as usize;
+        let wanted = !job.cancel.is_cancelled();
+        if !(same_life && room && wanted) || self.context.must_wait() {
+            return None;
+        }
+        state.on_wire.push(OnWire {
+            attempt: job.request.attempt,
+            idempotent: job.request.kind.is_idempotent(),
+            cancel: job.cancel.clone(),
+        });
+        Some(permit)
+    }
+
+    /// Returns work that was not sent to the queue, or refuses it.
+    fn put_back(
+        &self,
+        server: &OwnedServer,
+        connection: BackendConnection,
+        ticket: Ticket,
+        job: Job,
+    ) {
+        let mut state = server.lock();
+        let permit = self.permit(server, &state);
+        let refused = match &permit {
+            Err(reason) => Some(*reason),
+            Ok(_) if job.cancel.is_cancelled() => Some(NotRunReason::Cancelled),
+            Ok(_) => None,
+        };
+        if let Ok(permit) = permit {
+            state.give_back(connection, permit.entry.limits.slots);
+        }
+        match refused {
+            Some(reason) => {
+                state.queue.finish(None);
+                let _ = job.done.send(Outcome::NotRun(reason));
+            }
+            None => state.queue.restore(ticket, job),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        entry: &ServerEntry,
+        connection: &mut BackendConnection,
+        request: &RunRequest,
+        valid_until: Monotonic,
+    ) -> crate::connection::backend::Exchange {
+        let (here, there) = (&self.context.domain, &entry.domain);
+        if !self.context.links.cross(here, there).await {
+            return std::future::pending().await;
+        }
+        let exchange = connection.run(request, valid_until).await;
+        if !self.context.links.cross(there, here).await {
+            return std::future::pending().await;
+        }
+        exchange
+    }
+
+    /// Waits until an attempt is no longer wanted, then asks the server to stop it.
+    async fn forward_cancel(&self, server: &OwnedServer, job: &Job) {
+        job.cancel.cancelled().await;
+        let spare = server.lock().take_idle();
+        if let Some(mut connection) = spare
+            && connection.cancel(job.request.attempt).await
+        {
+            server.lock().idle.push(connection);
+        }
+    }
+
+    /// Takes in what an attempt showed of its server.
+    fn settle(
+        &self,
+        server: &OwnedServer,
+        entry: &ServerEntry,
+        job: &Job,
+        outcome: &Outcome<Vec<Row>>,
+        took: Duration,
+    ) {
+        let mut state = server.lock();
+        state.on_wire.retain(|on_wire| on_wire.attempt != job.request.attempt);
+        let ran = matches!(outcome, Outcome::Answered(_));
+        let late = *outcome == Outcome::Unknown(UnknownReason::TimedOut);
+        state.queue.finish(ran.then_some(took));
+        match outcome {
+            Outcome::NotRun(NotRunReason::Shed) => state.temperature.on_shed(),
+            Outcome::NotRun(NotRunReason::Draining) => {
+                state.draining_until = self.context.clock.now() + DRAIN_HOLD;
+            }
+            Outcome::Unknown(UnknownReason::ConnectionLost) => state.idle.clear(),
+            _ => {}
+        }
+        let evidence = ran || (late && !job.cancel.is_cancelled());
+        if evidence && state.temperature.on_reply(took, &entry.limits) {
+            tracing::info!(server = %server.id, took_us = micros(took), "slow replies: cold");
+            self.context.metrics.cold_turn();
+            self.shed_surplus(server, &state);
+        }
+    }
+
+    /// Cancels idempotent work beyond what a server that turned cold may have, newest first.
+    fn shed_surplus(&self, server: &OwnedServer, state: &State) {
+        let allowed = self.permit(server, state).map_or(0, |permit| permit.allowance as usize);
+        for on_wire in state.on_wire.iter().skip(allowed).filter(|w| w.idempotent) {
+            tracing::info!(server = %server.id, attempt = on_wire.attempt, "surplus cancelled");
+            on_wire.cancel.cancel();
+        }
+    }
+}
+
+impl OwnedServer {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl State {
+    fn take_idle(&mut self) -> Option<BackendConnection> {
+        let life = self.temperature.instance().cloned();
+        self.idle.retain(|c| !c.is_closed() && Some(c.instance()) == life.as_ref());
+        self.idle.pop()
+    }
+
+    fn give_back(&mut self, connection: BackendConnection, slots: u32) {
+        let same_life = self.temperature.instance() == Some(connection.instance());
+        if same_life && self.idle.len() < slots as usize + SPARE_CONNECTIONS {
+            self.idle.push(connection);
+        }
+    }
+}
--- a/src/process/pause.rs
+++ b/src/process/pause.rs
@@ -39,9 +39,12 @@
         None
     }
 
-    /// Takes in word from outside that confirms the configuration in force.
-    pub const fn on_confirmed(&mut self) {
-        self.waking_since = None;
+    /// Takes in word from outside that confirms the configuration in force; `asked_at` is when
+    /// it was asked for, because a reply to an earlier question may be as old as the pause.
+    pub fn on_confirmed(&mut self, asked_at: Monotonic) {
+        if self.waking_since.is_some_and(|since| asked_at >= since) {
+            self.waking_since = None;
+        }
     }
 
     /// Tells whether sending must wait.
--- a/src/process/pause/tests.rs
+++ b/src/process/pause/tests.rs
@@ -12,7 +12,9 @@
     assert_eq!(guard.tick(ms(900)), Some(ms(850)));
     assert_eq!(guard.tick(ms(950)), None);
     assert!(guard.must_wait(ms(950)));
-    guard.on_confirmed();
+    guard.on_confirmed(ms(899));
+    assert!(guard.must_wait(ms(950)), "the reply may be as old as the pause");
+    guard.on_confirmed(ms(900));
     assert!(!guard.must_wait(ms(950)));
 }
 
--- a/src/process/server_queue.rs
+++ b/src/process/server_queue.rs
@@ -85,13 +85,19 @@
     }
 
     /// Takes the next work to send; it counts as in flight until [`Self::finish`].
-    pub fn pop(&mut self, allowance: u32) -> Option<(Monotonic, T)> {
+    pub fn pop(&mut self, allowance: u32) -> Option<(Ticket, T)> {
         if self.in_flight >= allowance {
             return None;
         }
-        let ((_, deadline, _), item) = self.entries.pop_first()?;
+        let ((priority, deadline, seq), item) = self.entries.pop_first()?;
         self.in_flight += 1;
-        Some((deadline, item))
+        Some((Ticket(priority, deadline, seq), item))
+    }
+
+    /// Puts popped work that was not sent back into its place.
+    pub fn restore(&mut self, ticket: Ticket, item: T) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.entries.insert((ticket.0, ticket.1, ticket.2), item);
     }
 
     /// Removes work that is no longer wanted, if it was not popped yet.
--- /dev/null
+++ b/src/request/choose.rs
@@ -0,0 +1,53 @@
+//! Chooses the replica for an attempt.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+/// What is known of a replica at the moment of choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The expected time to its reply.
+    pub expected: Duration,
+    /// It is believed warm.
+    pub warm: bool,
+    /// The gate is open and it did not refuse a moment ago.
+    pub usable: bool,
+    /// The request was tried there before.
+    pub tried: bool,
+}
+
+/// How to choose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// The better of two random candidates.
+    TwoChoices,
+    /// Any candidate.
+    Random,
+}
+
+/// Returns the index of the chosen replica.
+///
+/// Usable and untried ones come first; where there is none, the wait for one is left to the
+/// caller and any that is usable is taken.
+pub fn choose(candidates: &[Candidate], choice: Choice, rng: &mut impl Rng) -> Option<usize> {
+    let usable: Vec<usize> = (0..candidates.len()).filter(|n| candidates[*n].usable).collect();
+    let fresh: Vec<usize> = usable.iter().copied().filter(|n| !candidates[*n].tried).collect();
+    let pool = if fresh.is_empty() { &usable } else { &fresh };
+    match choice {
+        Choice::Random => pool.choose(rng).copied(),
+        Choice::TwoChoices => {
+            pool.sample(rng, 2).copied().min_by_key(|n| candidates[*n].expected)
+        }
+    }
+}
+
+/// Returns the index of the replica for a hedge: warm, usable and untried, or none.
+pub fn choose_hedge(candidates: &[Candidate]) -> Option<usize> {
+    let fit = |n: &usize| candidates[*n].usable && candidates[*n].warm && !candidates[*n].tried;
+    (0..candidates.len()).filter(fit).min_by_key(|n| candidates[*n].expected)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/request/gather.rs
@@ -0,0 +1,170 @@
+//! Gathers the parts of one query into an answer with true coverage.
+
+use std::collections::{BTreeMap, HashSet};
+
+use smallvec::SmallVec;
+use smol_str::{SmolStr, ToSmolStr};
+
+use super::coverage::Coverage;
+use super::query::{Answer, Row, merge_rows};
+use crate::connection::peer::Part;
+use crate::ids::{IndexVersion, ServerId, ShardId};
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+
+#[derive(Debug, Default)]
+struct ShardState {
+    answered: bool,
+    tried: SmallVec<[ServerId; 4]>,
+    running: SmallVec<[ServerId; 2]>,
+    failure: Option<Outcome<()>>,
+}
+
+/// The state of one query on one index version.
+#[derive(Debug)]
+pub struct Gather {
+    index_version: IndexVersion,
+    limit: Option<usize>,
+    shards: BTreeMap<ShardId, ShardState>,
+    rows: Vec<Row>,
+}
+
+impl Gather {
+    /// Starts with all shards open; `limit` bounds the rows of the whole answer.
+    pub fn new(
+        index_version: IndexVersion,
+        shards: impl IntoIterator<Item = ShardId>,
+        limit: Option<usize>,
+    ) -> Self {
+        let shards = shards.into_iter().map(|id| (id, ShardState::default())).collect();
+        Self { index_version, limit, shards, rows: Vec::new() }
+    }
+
+    /// Notes an attempt at a shard.
+    pub fn on_sent(&mut self, shard: ShardId, server: &ServerId) {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.tried.push(server.clone());
+            state.running.push(server.clone());
+        }
+    }
+
+    /// Takes in a part; returns the shards that now have neither an answer nor an attempt.
+    ///
+    /// A shard counts once however often it is answered. Rows come only from the part that
+    /// answered their shard first; a limit on merged rows loses none of the rest, because every
+    /// row that it cut off stands behind rows that are held.
+    pub fn on_part(&mut self, part: Part) -> Vec<ShardId> {
+        let mut fresh = HashSet::new();
+        let mut open = Vec::new();
+        for report in part.ended {
+            let Some(state) = self.shards.get_mut(&report.shard) else { continue };
+            let Some(at) = state.running.iter().position(|server| *server == report.server) else {
+                continue;
+            };
+            state.running.remove(at);
+            if state.answered {
+                continue;
+            }
+            if matches!(report.outcome, Outcome::Answered(())) {
+                state.answered = true;
+                fresh.insert(report.shard);
+            } else {
+                state.failure = Some(report.outcome);
+                if state.running.is_empty() {
+                    open.push(report.shard);
+                }
+            }
+        }
+        self.rows.extend(part.rows.into_iter().filter(|row| fresh.contains(&row.shard)));
+        if let Some(limit) = self.limit {
+            self.rows = merge_rows(std::mem::take(&mut self.rows), limit);
+        }
+        open
+    }
+
+    /// Returns the servers tried for a shard, oldest first.
+    pub fn tried(&self, shard: ShardId) -> &[ServerId] {
+        self.shards.get(&shard).map_or(&[], |state| &state.tried)
+    }
+
+    /// Returns why a shard's last attempt failed.
+    pub fn failure(&self, shard: ShardId) -> Option<&Outcome<()>> {
+        self.shards.get(&shard)?.failure.as_ref()
+    }
+
+    /// Returns the servers at which attempts at a shard are running.
+    pub fn running(&self, shard: ShardId) -> &[ServerId] {
+        self.shards.get(&shard).map_or(&[], |state| &state.running)
+    }
+
+    /// Returns the shards without an answer that have exactly one attempt and had no other.
+    pub fn first_attempts(&self) -> Vec<ShardId> {
+        let once = |state: &ShardState| state.tried.len() == 1 && state.running.len() == 1;
+        self.shards.iter().filter(|(_, s)| !s.answered && once(s)).map(|(id, _)| *id).collect()
+    }
+
+    /// Tells whether a shard is answered.
+    pub fn is_answered(&self, shard: ShardId) -> bool {
+        self.shards.get(&shard).is_some_and(|state| state.answered)
+    }
+
+    /// Tells whether every shard is answered.
+    pub fn is_complete(&self) -> bool {
+        self.shards.values().all(|state| state.answered)
+    }
+
+    /// Tells whether no attempt is running.
+    pub fn is_idle(&self) -> bool {
+        self.shards.values().all(|state| state.answered || state.running.is_empty())
+    }
+
+    /// Tells whether any shard failed because its index version is gone.
+    pub fn version_gone(&self) -> bool {
+        let gone = Some(Outcome::NotRun(NotRunReason::VersionGone));
+        self.shards.values().any(|state| !state.answered && state.failure == gone)
+    }
+
+    /// Returns the coverage so far; a shard without an end counts as timed out.
+    pub fn coverage(&self) -> Coverage {
+        let missing = self
+            .shards
+            .iter()
+            .filter(|(_, state)| !state.answered)
+            .map(|(shard, state)| (*shard, reason(state)));
+        Coverage::new(u32::try_from(self.shards.len()).unwrap_or(u32::MAX), missing)
+    }
+
+    /// Ends the query with what there is.
+    pub fn finish(self) -> Outcome<Answer> {
+        let coverage = self.coverage();
+        if coverage.answered > 0 || self.shards.is_empty() {
+            let limit = self.limit.unwrap_or(usize::MAX);
+            let rows = merge_rows(self.rows, limit);
+            return Outcome::Answered(Answer { index_version: self.index_version, coverage, rows });
+        }
+        let unknown = self.shards.values().find_map(|state| match &state.failure {
+            _ if !state.running.is_empty() => Some(UnknownReason::TimedOut),
+            Some(Outcome::Unknown(reason)) => Some(*reason),
+            _ => None,
+        });
+        if let Some(reason) = unknown {
+            return Outcome::Unknown(reason);
+        }
+        let not_run = self.shards.values().find_map(|state| match &state.failure {
+            Some(Outcome::NotRun(reason)) => Some(*reason),
+            _ => None,
+        });
+        Outcome::NotRun(not_run.unwrap_or(NotRunReason::DeadlineTooClose))
+    }
+}
+
+fn reason(state: &ShardState) -> SmolStr {
+    match &state.failure {
+        _ if !state.running.is_empty() => UnknownReason::TimedOut.to_smolstr(),
+        Some(Outcome::NotRun(reason)) => reason.to_smolstr(),
+        Some(Outcome::Unknown(reason)) => reason.to_smolstr(),
+        Some(Outcome::Answered(())) | None => NotRunReason::DeadlineTooClose.to_smolstr(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/request/keeper.rs
@@ -0,0 +1,225 @@
+//! Runs non-idempotent requests: at most once each, by the holder of one seat.
+//!
+//! `docs/NON-IDEMPOTENT.md` gives the argument.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::coverage::Coverage;
+use super::query::{Answer, Query};
+use crate::clock::{Monotonic, micros, millis};
+use crate::connection::peer::{Batch, BatchItem, Part, PeerClient};
+use crate::connection::peer_pool::CallError;
+use crate::ids::{HostId, ServerId};
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::batches::Batches;
+use crate::process::context::Context;
+use crate::process::hints::Hints;
+use crate::process::record::{Begin, Record};
+use crate::version::config::{Kind, Server, Service};
+use crate::version::placement;
+
+/// The most requests remembered.
+const RECORD_CAPACITY: usize = 50_000;
+/// Replicas tried before a request is refused.
+const MAX_REPLICAS: usize = 4;
+const CALL_GRACE: Duration = Duration::from_millis(10);
+
+/// The keeper's part of a host.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    context: Arc<Context>,
+    batches: Arc<Batches>,
+    hints: Arc<Mutex<Hints>>,
+    record: Mutex<Record<Answer>>,
+}
+
+impl Keeper {
+    pub(crate) fn new(
+        context: Arc<Context>,
+        batches: Arc<Batches>,
+        hints: Arc<Mutex<Hints>>,
+    ) -> Arc<Self> {
+        let keep = Duration::from_millis(context.operational.load().config.fleet.timing.record_ms);
+        let record = Mutex::new(Record::new(keep, RECORD_CAPACITY));
+        Arc::new(Self { context, batches, hints, record })
+    }
+
+    /// Runs a request, or replays what became of it; it goes on when the future is dropped.
+    pub(crate) async fn submit(
+        self: &Arc<Self>,
+        query: Query,
+        deadline: Monotonic,
+    ) -> Outcome<Answer> {
+        let (seat_since, valid_until) = match self.tenure(&query) {
+            Ok(tenure) => tenure,
+            Err(reason) => return Outcome::NotRun(reason),
+        };
+        let now = self.context.clock.now();
+        if now >= deadline {
+            return Outcome::NotRun(NotRunReason::DeadlineTooClose);
+        }
+        let begin = self
+            .record
+            .lock()
+            .expect("no holder of the lock panics")
+            .begin(now, &query.request_id, query.resend, seat_since);
+        if let Begin::Reply(outcome) = begin {
+            tracing::info!(request = %query.request_id, "replayed from the record");
+            return outcome;
+        }
+        let keeper = self.clone();
+        let run = tokio::spawn(async move {
+            let id = query.request_id.clone();
+            let outcome = keeper.place(query, deadline.min(valid_until)).await;
+            keeper.record.lock().expect("no holder of the lock panics").end(&id, &outcome);
+            outcome
+        });
+        run.await.unwrap_or(Outcome::Unknown(UnknownReason::ConnectionLost))
+    }
+
+    /// Returns since when this host has kept the request's record, and until when it may act.
+    fn tenure(&self, query: &Query) -> Result<(Monotonic, Monotonic), NotRunReason> {
+        if self.context.must_wait() {
+            return Err(NotRunReason::NotReady);
+        }
+        if !self.context.policy.owners {
+            return Ok((Monotonic::ZERO, Monotonic::MAX));
+        }
+        let config = self.context.operational.load().config.clone();
+        let seat = placement::keeper_seat(&config, &query.request_id).ok_or(NotRunReason::NotReady)?;
+        let leases = self.context.leases.load();
+        let held = leases.held.get(&seat).ok_or(NotRunReason::NotOwner)?;
+        if self.context.clock.now() >= held.until {
+            return Err(NotRunReason::NotOwner);
+        }
+        let placed = *self.context.placed_at.lock().expect("no holder of the lock panics");
+        Ok((held.since.max(placed), held.until))
+    }
+
+    /// Tries replicas in turn while it is certain that the request did not run.
+    async fn place(&self, query: Query, deadline: Monotonic) -> Outcome<Answer> {
+        let operational = self.context.operational.load_full();
+        let Some(service) = operational.config.service(&query.service) else {
+            return Outcome::NotRun(NotRunReason::BadRequest);
+        };
+        let mut last = NotRunReason::NoPermission;
+        for server in self.replicas(service, &query).into_iter().take(MAX_REPLICAS) {
+            if self.context.clock.now() >= deadline {
+                return Outcome::NotRun(last);
+            }
+            match self.run_at(service, &query, &server, deadline).await {
+                Outcome::Answered(answer) => return Outcome::Answered(answer),
+                Outcome::Unknown(reason) => return Outcome::Unknown(reason),
+                Outcome::NotRun(reason) => last = reason,
+            }
+        }
+        Outcome::NotRun(last)
+    }
+
+    /// Returns the replicas of the request's shard, the quickest open ones first.
+    fn replicas(&self, service: &Service, query: &Query) -> Vec<Server> {
+        let now = self.context.clock.now();
+        let typical = Duration::from_millis(service.limits.typical_ms);
+        let newest = self.context.operational.load();
+        let hints = self.hints.lock().expect("no holder of the lock panics");
+        let shard = service.shard_of(&query.key);
+        let mut servers: Vec<(Duration, u32, Server)> = shard
+            .into_iter()
+            .flat_map(|s| &s.servers)
+            .filter(|server| newest.gate(&server.id).is_ok())
+            .map(|server| {
+                let known = hints.candidate(now, &server.id, typical, true, false);
+                let avoid = if known.usable { Duration::ZERO } else { typical * 100 };
+                (known.expected + avoid, rand::rng().random(), server.clone())
+            })
+            .collect();
+        servers.sort_by_key(|(expected, tie, _)| (*expected, *tie));
+        servers.into_iter().map(|(_, _, server)| server).collect()
+    }
+
+    async fn run_at(
+        &self,
+        service: &Service,
+        query: &Query,
+        server: &Server,
+        deadline: Monotonic,
+    ) -> Outcome<Answer> {
+        let newest = self.context.operational.load();
+        let Some(seat) = newest.server(&server.id).map(|entry| entry.seat.clone()) else {
+            return Outcome::NotRun(NotRunReason::ServerLeaving);
+        };
+        let Some(shard) = service.shard_of(&query.key) else {
+            return Outcome::NotRun(NotRunReason::BadRequest);
+        };
+        let owner = self.context.holder(&seat);
+        let attempt = rand::rng().random();
+        tracing::info!(
+            request = %query.request_id, shard = shard.id, server = %server.id, %owner, attempt,
+            kind = "submit", "routed"
+        );
+        let batch = Batch {
+            id: rand::rng().random(),
+            query: query.clone(),
+            kind: Kind::Submit,
+            index_version: service.index_version,
+            deadline_us: 0,
+            flush_ms: millis(deadline.saturating_sub(self.context.clock.now())),
+            items: vec![BatchItem { attempt, shard: shard.id, server: server.id.clone() }],
+        };
+        self.hints.lock().expect("no holder of the lock panics").on_sent(&server.id);
+        let part = self.exchange(&owner, batch, deadline).await;
+        self.conclude(service, &server.id, part)
+    }
+
+    async fn exchange(
+        &self,
+        owner: &HostId,
+        mut batch: Batch,
+        deadline: Monotonic,
+    ) -> Result<Part, CallError> {
+        if *owner == self.context.me {
+            batch.deadline_us = micros(deadline);
+            return Ok(self.batches.run(batch).await);
+        }
+        let to = self.context.address(owner).ok_or(CallError::NotSent)?;
+        batch.deadline_us =
+            self.context.peers.deadline_at(&to, deadline).await.ok_or(CallError::NotSent)?;
+        let timeout = deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
+        let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
+        self.context.peers.call(&to, timeout, call).await
+    }
+
+    fn conclude(
+        &self,
+        service: &Service,
+        server: &ServerId,
+        part: Result<Part, CallError>,
+    ) -> Outcome<Answer> {
+        let now = self.context.clock.now();
+        let (outcome, rows, hint) = match part {
+            Ok(part) => match part.ended.into_iter().next() {
+                Some(report) => {
+                    let hint = (Duration::from_micros(report.expected_us), report.warm);
+                    (report.outcome, part.rows, Some(hint))
+                }
+                None => (Outcome::Unknown(UnknownReason::TimedOut), Vec::new(), None),
+            },
+            Err(CallError::NotSent) => {
+                (Outcome::NotRun(NotRunReason::Unreachable), Vec::new(), None)
+            }
+            Err(CallError::Lost) => {
+                (Outcome::Unknown(UnknownReason::ConnectionLost), Vec::new(), None)
+            }
+        };
+        let mut hints = self.hints.lock().expect("no holder of the lock panics");
+        hints.on_ended(now, server, &outcome, hint);
+        outcome.map(|()| Answer {
+            index_version: service.index_version,
+            coverage: Coverage::new(1, []),
+            rows,
+        })
+    }
+}
