Run whole fleets in one program: stand-ins, demo and measurements

Cause: nothing showed the path end to end. Change: stand-ins for backend servers and the platform, callers that keep address answers, scenarios, a judge over what the servers saw, the two binaries.

--- a/src/bin/quetzald/main.rs
+++ b/src/bin/quetzald/main.rs
@@ -1,1 +1,42 @@
-fn main(){}
+//! The daemon of one entry host.
+
+mod options;
+
+use quetzalpoint::Host;
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_subscriber::EnvFilter;
+
+use crate::options::{LogFormat, options};
+
+const DEFAULT_LOG: &str = "info";
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    let options = options().run();
+    start_log(options.log_format);
+    let settings = options.settings();
+    let mut terminate = signal(SignalKind::terminate()).map_err(miette::Report::msg)?;
+    let starting = Host::builder(settings).start();
+    let host = tokio::select! {
+        started = starting => started.map_err(miette::Report::msg)?,
+        _ = terminate.recv() => return Ok(()),
+        _ = tokio::signal::ctrl_c() => return Ok(()),
+    };
+    tokio::select! {
+        _ = terminate.recv() => host.leave().await,
+        _ = tokio::signal::ctrl_c() => host.leave().await,
+        () = host.stopped() => {}
+    }
+    Ok(())
+}
+
+fn start_log(format: LogFormat) {
+    let filter = EnvFilter::try_from_env("QUETZAL_LOG").unwrap_or_else(|_| DEFAULT_LOG.into());
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -21,7 +21,9 @@
 impl Clock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self {
+            origin: Instant::now(),
+        }
     }
 
     /// Returns the time since the process started.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a connection: to backend servers, to other hosts and to the platform.
 
 pub mod backend;
+pub mod caller;
 pub(crate) mod fence;
 pub(crate) mod http_client;
 pub mod links;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -158,7 +158,9 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, Self::Error> {
-        postcard::to_allocvec(item).map(Bytes::from).map_err(io::Error::other)
+        postcard::to_allocvec(item)
+            .map(Bytes::from)
+            .map_err(io::Error::other)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,10 +9,12 @@
 mod derive;
 mod error;
 pub mod ids;
+pub mod measure;
 mod outcome;
 pub mod policy;
 pub mod process;
 pub mod request;
+pub mod standin;
 pub mod version;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/measure/capacity.rs
@@ -0,0 +1,170 @@
+//! Measures what control costs a host, by driving its state machines at several fleet sizes.
+
+use std::collections::HashSet;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock::Monotonic;
+use crate::ids::HostId;
+use crate::process::gossip::RandomizedTokens;
+use crate::process::membership::{Action, Membership};
+use crate::process::membership_actor::{GOSSIP, TICK};
+use crate::version::config::Config;
+use crate::version::operational::Operational;
+use crate::version::questionnaire::Questionnaire;
+
+const SIZES: [usize; 4] = [8, 54, 215, 430];
+/// The time that each size is driven for.
+const DRIVEN: Duration = Duration::from_secs(10);
+/// Replicas at the target size, and shards of a wide service.
+const TARGET_REPLICAS: u32 = 2_900;
+const TARGET_SHARDS: u32 = 1_400;
+const SEED: u64 = 1;
+/// Bytes around each message between hosts: TCP and IP headers, the frame's length and the
+/// call's envelope.
+const ENVELOPE_BYTES: u64 = 52 + 4 + 40;
+
+/// Runs all sizes and writes a table.
+pub fn table() -> String {
+    let mut text = format!(
+        "{:>6} {:>12} {:>12} {:>10} {:>10} {:>13} {:>13}\n",
+        "hosts", "messages/s", "bytes/s", "us/tick", "% of core", "snapshot us", "config KiB"
+    );
+    for hosts in SIZES {
+        let cost = measure(hosts);
+        writeln!(
+            text,
+            "{hosts:>6} {:>12.1} {:>12.0} {:>10.1} {:>10.3} {:>13.0} {:>13.1}",
+            cost.messages_s,
+            cost.bytes_s,
+            cost.tick_us,
+            cost.core_percent,
+            cost.snapshot_us,
+            cost.config_kib
+        )
+        .expect("writing to a string always succeeds");
+    }
+    text
+}
+
+struct Cost {
+    messages_s: f64,
+    bytes_s: f64,
+    tick_us: f64,
+    core_percent: f64,
+    snapshot_us: f64,
+    config_kib: f64,
+}
+
+/// Drives one host fully and all others as far as they answer it.
+fn measure(hosts: usize) -> Cost {
+    let config = Arc::new(config(hosts));
+    let started = Instant::now();
+    let operational = Arc::new(Operational::new(config.clone(), &HashSet::new()));
+    let snapshot_us = started.elapsed().as_secs_f64() * 1e6;
+    let config_bytes: usize = config.documents().iter().map(|(_, text)| text.len()).sum();
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let ids: Vec<HostId> = config
+        .fleet
+        .hosts
+        .iter()
+        .map(|host| host.id.clone())
+        .collect();
+    let mut members: Vec<Membership<RandomizedTokens>> = ids
+        .iter()
+        .map(|id| Membership::new(Monotonic::ZERO, id.clone(), 1, operational.clone(), GOSSIP))
+        .collect();
+    let mut now = Monotonic::ZERO;
+    let (mut messages, mut bytes) = (0_u64, 0_u64);
+    let mut busy = Duration::ZERO;
+    while now < DRIVEN {
+        now += TICK;
+        for n in 0..members.len() {
+            let began = Instant::now();
+            let actions = members[n].tick(now, 0, |_| 0, &mut rng);
+            std::hint::black_box(members[n].view(now));
+            let mut queue: Vec<(usize, Action)> = actions.into_iter().map(|a| (n, a)).collect();
+            while let Some((from, action)) = queue.pop() {
+                let (sent, size) = cost_of(&action);
+                messages += sent;
+                bytes += size;
+                let (to, more) = deliver(&mut members, &ids, now, from, &action, &mut rng);
+                queue.extend(more.into_iter().map(|a| (to, a)));
+            }
+            busy += began.elapsed();
+        }
+    }
+    #[expect(clippy::cast_precision_loss)]
+    let (hosts, config_bytes) = (hosts as f64, config_bytes as f64);
+    let seconds = DRIVEN.as_secs_f64();
+    let busy_s = busy.as_secs_f64() / hosts;
+    let ticks = seconds / TICK.as_secs_f64();
+    #[expect(clippy::cast_precision_loss)]
+    Cost {
+        messages_s: messages as f64 / hosts / seconds,
+        bytes_s: bytes as f64 / hosts / seconds,
+        tick_us: busy_s * 1e6 / ticks,
+        core_percent: busy_s / seconds * 100.0,
+        snapshot_us,
+        config_kib: config_bytes / 1_024.0,
+    }
+}
+
+/// Returns the messages of an action, with its reply, and their bytes.
+fn cost_of(action: &Action) -> (u64, u64) {
+    let size = |bytes: Result<Vec<u8>, postcard::Error>| bytes.map_or(0, |b| b.len() as u64);
+    match action {
+        Action::Claim(_, claim) => {
+            // The reply is a few numbers; the request names hosts.
+            let body = size(postcard::to_allocvec(claim));
+            (2, body * 2 + 2 * ENVELOPE_BYTES)
+        }
+        Action::Release(_, release) => {
+            (2, size(postcard::to_allocvec(release)) + 2 * ENVELOPE_BYTES)
+        }
+        Action::Push(_, push) => (2, size(postcard::to_allocvec(push)) + 2 * ENVELOPE_BYTES),
+    }
+}
+
+fn deliver(
+    members: &mut [Membership<RandomizedTokens>],
+    ids: &[HostId],
+    now: Monotonic,
+    from: usize,
+    action: &Action,
+    rng: &mut SmallRng,
+) -> (usize, Vec<Action>) {
+    let (Action::Claim(host, _) | Action::Release(host, _) | Action::Push(host, _)) = action;
+    let Some(to) = ids.iter().position(|id| id == host) else {
+        return (from, Vec::new());
+    };
+    match action {
+        Action::Claim(_, claim) => {
+            let reply = members[to].on_claim(now, claim);
+            members[from].on_claim_reply(now, &ids[to], &claim.seat, now, &reply);
+            (to, Vec::new())
+        }
+        Action::Release(_, release) => {
+            members[to].on_release(now, release);
+            (to, Vec::new())
+        }
+        Action::Push(_, push) => (to, members[to].on_push(now, push, rng).1),
+    }
+}
+
+/// Returns a configuration of the target's shape with a number of hosts.
+fn config(hosts: usize) -> Config {
+    let text = include_str!("../../examples/answers/tarlac.toml");
+    let mut answers = Questionnaire::from_toml(text).expect("the shipped answers can be read");
+    answers.entry_hosts.count = hosts;
+    answers.domains = (1..=7).map(|n| format!("domain-{n}").into()).collect();
+    answers.services.truncate(1);
+    answers.services[0].shards = TARGET_SHARDS;
+    answers.services[0].replicas = TARGET_REPLICAS / TARGET_SHARDS;
+    answers.entry_hosts.peer_port = 30_000;
+    answers.generate(1).expect("the target's shape is valid")
+}
--- /dev/null
+++ b/src/measure/demo.rs
@@ -0,0 +1,102 @@
+//! A short tour: a whole fleet, a few queries, a failure domain out and back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::Instant;
+
+use super::fleet::{Deployment, Fleet};
+use super::load::Load;
+use crate::connection::caller::{Caller, NoReply};
+use crate::error::Result;
+use crate::policy::Policy;
+use crate::request::http::Reply;
+use crate::request::query::QueryBody;
+use crate::version::operations::{Target, set_out};
+
+const SEED: u64 = 1;
+/// Load that warms the servers before the tour.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// How long a change may take before the tour goes on.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Runs the tour and prints a table as it goes.
+///
+/// # Errors
+///
+/// Returns an error where the fleet can't be started.
+pub async fn demo(print: impl Fn(String)) -> Result<()> {
+    for deployment in [Deployment::Tarlac, Deployment::MokaLabs] {
+        tour(deployment, &print).await?;
+    }
+    print("Both fleets answered as one. Next: quetzal measure --help".to_owned());
+    Ok(())
+}
+
+async fn tour(deployment: Deployment, print: &impl Fn(String)) -> Result<()> {
+    print(format!(
+        "Starting {}: platform, backend servers, entry hosts ...",
+        deployment.name()
+    ));
+    let fleet = Fleet::start(deployment, Policy::FULL, SEED).await?;
+    let hosts = fleet.host_ids().len();
+    print(format!(
+        "  {} backend servers, {hosts} entry hosts; warming up",
+        fleet.servers.len()
+    ));
+    Load::new(&fleet, SEED, 1.0).run(&fleet, WARM_UP).await;
+    print(format!(
+        "{:<22} {:<16} {:>9} {:>8} {:>10} {:>6}",
+        "state", "service", "outcome", "ms", "coverage", "rows"
+    ));
+    ask_all(&fleet, "all in", print).await;
+    let domain = fleet.config().fleet.domains[0].id.clone();
+    let target = Target::Domain(domain.to_string());
+    fleet.publish(set_out(&fleet.config(), &target, true)?);
+    tokio::time::sleep(SETTLE).await;
+    ask_all(&fleet, &format!("{domain} taken out"), print).await;
+    fleet.publish(set_out(&fleet.config(), &target, false)?);
+    tokio::time::sleep(SETTLE).await;
+    ask_all(&fleet, &format!("{domain} brought back"), print).await;
+    let totals = fleet.journal.totals();
+    print(format!(
+        "  servers saw {} runs, {} sheds, {} overloads while cold, {} duplicated orders\n",
+        totals.runs,
+        totals.sheds,
+        totals.cold_overloads,
+        fleet.journal.duplicates()
+    ));
+    Ok(())
+}
+
+async fn ask_all(fleet: &Arc<Fleet>, state: &str, print: &impl Fn(String)) {
+    let caller = Caller::new(fleet.caller_addrs());
+    for service in &fleet.config().services {
+        let body = QueryBody {
+            request_id: format_smolstr!("demo-{}-{state}", service.id),
+            deadline_ms: None,
+            term: SmolStr::new_static("crate"),
+            key: SmolStr::new_static("order-7"),
+            limit: None,
+            resend: false,
+        };
+        let asked = Instant::now();
+        let deadline = Duration::from_millis(service.deadline_ms);
+        let result = caller.query(&service.id, &body, deadline).await;
+        print(line(state, &service.id, asked.elapsed(), &result));
+    }
+}
+
+fn line(state: &str, service: &str, took: Duration, result: &Result<Reply, NoReply>) -> String {
+    let (outcome, coverage, rows) = match result {
+        Ok(reply) => {
+            let coverage = reply.coverage.as_ref();
+            let coverage = coverage.map_or("-".into(), |c| format!("{}/{}", c.answered, c.shards));
+            (reply.outcome.to_string(), coverage, reply.rows.len())
+        }
+        Err(error) => (format!("{error:?}"), "-".to_owned(), 0),
+    };
+    let ms = took.as_secs_f64() * 1_000.0;
+    format!("{state:<22} {service:<16} {outcome:>9} {ms:>8.1} {coverage:>10} {rows:>6}")
+}
--- /dev/null
+++ b/src/measure/scenario.rs
@@ -0,0 +1,297 @@
+//! The failures that a measurement causes, as scripts over time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+use super::fleet::Fleet;
+use crate::ids::{DomainId, HostId, ServerId};
+use crate::version::config::Service;
+use crate::version::operations::{Target, repartition, set_out};
+
+/// The share of servers that a script touches, as a divisor.
+const TOUCHED_DIVISOR: usize = 8;
+/// How much slower a straggler is.
+const STRAGGLER_FACTOR: f64 = 12.0;
+/// How much slower all servers are in overload.
+const OVERLOAD_FACTOR: f64 = 12.0;
+/// How long a paused host does not run.
+const PAUSE: Duration = Duration::from_millis(2_500);
+/// How long servers keep an index version after the next one is published.
+const OLD_VERSION_KEEPS: Duration = Duration::from_millis(1_500);
+
+/// A named failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Scenario {
+    /// Nothing fails.
+    Steady,
+    /// Some servers are slow for a while.
+    Straggler,
+    /// All servers are slow for a while, beyond what they can serve.
+    Overload,
+    /// Some servers, and one host, die and return.
+    ReplicaLoss,
+    /// Some servers start again and are cold.
+    ColdStart,
+    /// A failure domain is taken out and brought back.
+    DomainOutAndBack,
+    /// The configuration service is down, then out of reach for half of the hosts, while a
+    /// failure domain is taken out and brought back.
+    ConfigDown,
+    /// A failure domain is cut off from the others.
+    Partition,
+    /// Hosts don't run for a while.
+    Pause,
+    /// A service moves to another index version with other shards.
+    Repartition,
+    /// Hosts leave and return one after the other.
+    RollingRestart,
+}
+
+/// All scenarios by name.
+pub const NAMED: [(&str, Scenario); 11] = [
+    ("steady", Scenario::Steady),
+    ("straggler", Scenario::Straggler),
+    ("overload", Scenario::Overload),
+    ("replica-loss", Scenario::ReplicaLoss),
+    ("cold-start", Scenario::ColdStart),
+    ("domain-out-and-back", Scenario::DomainOutAndBack),
+    ("config-down", Scenario::ConfigDown),
+    ("partition", Scenario::Partition),
+    ("pause", Scenario::Pause),
+    ("repartition", Scenario::Repartition),
+    ("rolling-restart", Scenario::RollingRestart),
+];
+
+impl Scenario {
+    /// Returns the scenario of a name.
+    pub fn named(name: &str) -> Option<Self> {
+        NAMED
+            .iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, scenario)| *scenario)
+    }
+
+    /// Tells whether hosts die, or callers' connections may break.
+    pub const fn fails_hosts(self) -> bool {
+        matches!(self, Self::ReplicaLoss | Self::Pause)
+    }
+
+    /// Plays the script over a time.
+    pub async fn play(self, fleet: Arc<Fleet>, time: Duration, seed: u64) {
+        let mut script = Script {
+            rng: SmallRng::seed_from_u64(seed),
+            fleet,
+            time,
+        };
+        match self {
+            Self::Steady => {}
+            Self::Straggler => script.straggler().await,
+            Self::Overload => script.overload().await,
+            Self::ReplicaLoss => script.replica_loss().await,
+            Self::ColdStart => script.cold_start().await,
+            Self::DomainOutAndBack => script.domain_out_and_back().await,
+            Self::ConfigDown => script.config_down().await,
+            Self::Partition => script.partition().await,
+            Self::Pause => script.pause().await,
+            Self::Repartition => script.repartition().await,
+            Self::RollingRestart => script.rolling_restart().await,
+        }
+    }
+}
+
+struct Script {
+    rng: SmallRng,
+    fleet: Arc<Fleet>,
+    time: Duration,
+}
+
+impl Script {
+    async fn wait(&self, percent: u32) {
+        tokio::time::sleep(self.time * percent / 100).await;
+    }
+
+    fn some_servers(&mut self) -> Vec<ServerId> {
+        let mut ids: Vec<ServerId> = self.fleet.servers.keys().cloned().collect();
+        ids.shuffle(&mut self.rng);
+        ids.truncate(ids.len() / TOUCHED_DIVISOR);
+        ids
+    }
+
+    fn some_domain(&mut self) -> DomainId {
+        let config = self.fleet.config();
+        let n = self.rng.random_range(0..config.fleet.domains.len());
+        config.fleet.domains[n].id.clone()
+    }
+
+    fn some_host(&mut self) -> HostId {
+        let ids = self.fleet.host_ids();
+        ids[self.rng.random_range(0..ids.len())].clone()
+    }
+
+    async fn straggler(&mut self) {
+        let ids = self.some_servers();
+        self.wait(25).await;
+        ids.iter()
+            .for_each(|id| self.fleet.servers[id].set_slow_factor(STRAGGLER_FACTOR));
+        self.wait(50).await;
+        ids.iter()
+            .for_each(|id| self.fleet.servers[id].set_slow_factor(1.0));
+    }
+
+    async fn overload(&mut self) {
+        self.wait(25).await;
+        self.fleet
+            .servers
+            .values()
+            .for_each(|server| server.set_slow_factor(OVERLOAD_FACTOR));
+        self.wait(50).await;
+        self.fleet
+            .servers
+            .values()
+            .for_each(|server| server.set_slow_factor(1.0));
+    }
+
+    async fn replica_loss(&mut self) {
+        let ids = self.some_servers();
+        let host = self.some_host();
+        self.wait(25).await;
+        ids.iter().for_each(|id| self.fleet.servers[id].crash());
+        self.wait(10).await;
+        self.fleet.kill_host(&host).await;
+        self.wait(25).await;
+        ids.iter().for_each(|id| self.fleet.servers[id].restart());
+        self.wait(10).await;
+        self.start_host(&host).await;
+    }
+
+    async fn cold_start(&mut self) {
+        for _ in 0..3 {
+            self.wait(20).await;
+            let ids = self.some_servers();
+            ids.iter().for_each(|id| self.fleet.servers[id].restart());
+        }
+    }
+
+    async fn domain_out_and_back(&mut self) {
+        let domain = self.some_domain();
+        self.wait(20).await;
+        self.set_domain(&domain, true);
+        self.wait(40).await;
+        self.restart_servers_of(&domain);
+        self.set_domain(&domain, false);
+    }
+
+    async fn config_down(&mut self) {
+        let domain = self.some_domain();
+        self.wait(10).await;
+        self.fleet.platform.set_down(true);
+        self.wait(15).await;
+        let hosts = self.fleet.host_ids();
+        let half = hosts.iter().step_by(2).cloned().collect();
+        self.fleet.links.set(|rules| rules.without_platform = half);
+        self.fleet.platform.set_down(false);
+        self.set_domain(&domain, true);
+        self.wait(45).await;
+        self.set_domain(&domain, false);
+        self.wait(10).await;
+        self.fleet.links.set(|rules| rules.without_platform.clear());
+    }
+
+    async fn partition(&mut self) {
+        let domain = self.some_domain();
+        self.wait(25).await;
+        self.fleet.links.set(|rules| {
+            rules.isolated.insert(domain.clone());
+        });
+        self.wait(35).await;
+        self.fleet.links.set(|rules| {
+            rules.isolated.remove(&domain);
+        });
+    }
+
+    async fn pause(&mut self) {
+        for _ in 0..3 {
+            self.wait(20).await;
+            let (one, other) = (self.some_host(), self.some_host());
+            self.fleet.pause_host(&one, PAUSE).await;
+            self.fleet.pause_host(&other, PAUSE).await;
+        }
+    }
+
+    async fn repartition(&mut self) {
+        self.wait(20).await;
+        for (n, percent) in [(2_u64, 25), (3, 25)] {
+            self.next_index_version(n).await;
+            self.wait(percent).await;
+        }
+    }
+
+    /// Moves the services of many shards to an index version with fewer, then more shards.
+    async fn next_index_version(&mut self, version: u64) {
+        let config = self.fleet.config();
+        let wide: Vec<Service> = config
+            .services
+            .iter()
+            .filter(|s| s.shards.len() > 1)
+            .cloned()
+            .collect();
+        for service in &wide {
+            let both = [service.index_version, version];
+            service
+                .servers()
+                .for_each(|s| self.fleet.servers[&s.id].set_versions(both));
+            let shards = if version.is_multiple_of(2) { 10 } else { 20 };
+            let current = self.fleet.config();
+            match repartition(&current, &service.id, version, shards) {
+                Ok(next) => self.fleet.publish(next),
+                Err(error) => tracing::error!(%error, "the next version can't be prepared"),
+            }
+        }
+        tokio::time::sleep(OLD_VERSION_KEEPS).await;
+        for server in wide.iter().flat_map(Service::servers) {
+            self.fleet.servers[&server.id].set_versions([version]);
+        }
+    }
+
+    async fn rolling_restart(&mut self) {
+        let started = tokio::time::Instant::now();
+        let mut hosts = self.fleet.host_ids();
+        hosts.shuffle(&mut self.rng);
+        for host in hosts {
+            if started.elapsed() > self.time * 7 / 10 {
+                return;
+            }
+            if let Err(error) = self.fleet.restart_host(&host).await {
+                tracing::error!(%host, %error, "the host can't be started");
+            }
+        }
+    }
+
+    fn set_domain(&self, domain: &DomainId, out: bool) {
+        let target = Target::Domain(domain.to_string());
+        match set_out(&self.fleet.config(), &target, out) {
+            Ok(next) => self.fleet.publish(next),
+            Err(error) => tracing::error!(%error, "the next version can't be prepared"),
+        }
+    }
+
+    fn restart_servers_of(&self, domain: &DomainId) {
+        let servers = self
+            .fleet
+            .servers
+            .values()
+            .filter(|s| s.server().domain == *domain);
+        servers.for_each(|server| server.restart());
+    }
+
+    async fn start_host(&self, host: &HostId) {
+        if let Err(error) = self.fleet.start_host(host).await {
+            tracing::error!(%host, %error, "the host can't be started");
+        }
+    }
+}
--- a/src/process/batches.rs
+++ b/src/process/batches.rs
@@ -44,7 +44,12 @@
 impl Batches {
     pub(crate) fn new(context: Arc<Context>, owner: Arc<Owner>) -> Arc<Self> {
         let (open, cancels) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { context, owner, open, cancels })
+        Arc::new(Self {
+            context,
+            owner,
+            open,
+            cancels,
+        })
     }
 
     /// Runs a batch; returns when it is done or its flush time has come.
@@ -62,9 +67,17 @@
 
     /// Waits for more of a batch; an unknown one has nothing pending.
     pub(crate) async fn collect(self: &Arc<Self>, id: BatchId, deadline: Monotonic) -> Part {
-        let taken = self.open.lock().expect("no holder of the lock panics").remove(&id);
+        let taken = self
+            .open
+            .lock()
+            .expect("no holder of the lock panics")
+            .remove(&id);
         let Some(mut open) = taken else {
-            return Part { ended: Vec::new(), rows: Vec::new(), pending: 0 };
+            return Part {
+                ended: Vec::new(),
+                rows: Vec::new(),
+                pending: 0,
+            };
         };
         let part = open.gather(Instant::now()).await;
         self.keep(id, open, deadline);
@@ -105,7 +118,10 @@
                 let _ = sender.send((report, rows));
             });
         }
-        self.cancels.lock().expect("no holder of the lock panics").insert(batch.id, tokens);
+        self.cancels
+            .lock()
+            .expect("no holder of the lock panics")
+            .insert(batch.id, tokens);
         self.forget_after(batch.id, deadline);
         OpenBatch {
             results,
@@ -118,7 +134,10 @@
 
     fn keep(&self, id: BatchId, open: OpenBatch, deadline: Monotonic) {
         if open.pending > 0 && self.context.clock.now() < deadline + KEEP_AFTER_DEADLINE {
-            self.open.lock().expect("no holder of the lock panics").insert(id, open);
+            self.open
+                .lock()
+                .expect("no holder of the lock panics")
+                .insert(id, open);
         }
     }
 
@@ -127,8 +146,16 @@
         let at = self.context.clock.instant(deadline + KEEP_AFTER_DEADLINE);
         tokio::spawn(async move {
             tokio::time::sleep_until(at).await;
-            batches.open.lock().expect("no holder of the lock panics").remove(&id);
-            batches.cancels.lock().expect("no holder of the lock panics").remove(&id);
+            batches
+                .open
+                .lock()
+                .expect("no holder of the lock panics")
+                .remove(&id);
+            batches
+                .cancels
+                .lock()
+                .expect("no holder of the lock panics")
+                .remove(&id);
         });
     }
 }
@@ -157,7 +184,11 @@
         if self.kind == Kind::Listing {
             rows = merge_rows(rows, self.limit);
         }
-        Part { ended, rows, pending: self.pending }
+        Part {
+            ended,
+            rows,
+            pending: self.pending,
+        }
     }
 }
 
--- a/src/process/config_store.rs
+++ b/src/process/config_store.rs
@@ -20,7 +20,9 @@
     /// Returns [`Error::Invalid`] where it breaks a rule.
     pub fn new(first: Config) -> Result<Self> {
         check(&first)?;
-        Ok(Self { current: Arc::new(first) })
+        Ok(Self {
+            current: Arc::new(first),
+        })
     }
 
     /// Returns the version in force.
@@ -52,7 +54,9 @@
             return if offered == *self.current {
                 Ok(false)
             } else {
-                Err(refused("the same version was accepted with other content; publish a higher one"))
+                Err(refused(
+                    "the same version was accepted with other content; publish a higher one",
+                ))
             };
         }
         check(&offered)?;
--- a/src/process/gossip/tests.rs
+++ b/src/process/gossip/tests.rs
@@ -6,7 +6,10 @@
 use super::*;
 
 fn node(name: &str) -> Gossip<RandomizedTokens> {
-    let strategy = RandomizedTokens { spend_divisor: 2, capacity: 6 };
+    let strategy = RandomizedTokens {
+        spend_divisor: 2,
+        capacity: 6,
+    };
     Gossip::new(name.into(), 1, strategy, Monotonic::ZERO)
 }
 
@@ -20,7 +23,10 @@
     assert!(a.set_own(Monotonic::ZERO, true, 0, SmallVec::new()));
     let second = a.message();
     assert!(b.on_push(Monotonic::ZERO, &second, &mut rng).useful);
-    assert!(!b.on_push(Monotonic::ZERO, &first, &mut rng).useful, "an older one arrives late");
+    assert!(
+        !b.on_push(Monotonic::ZERO, &first, &mut rng).useful,
+        "an older one arrives late"
+    );
     assert!(b.rumors().all(|(rumor, _)| rumor.leaving));
 }
 
@@ -33,11 +39,36 @@
         conflicting: bool,
     }
     let cases = [
-        Case { mine: (3, 30), theirs: (3, 30), newer: false, conflicting: false },
-        Case { mine: (3, 30), theirs: (4, 40), newer: true, conflicting: false },
-        Case { mine: (3, 30), theirs: (2, 20), newer: false, conflicting: false },
-        Case { mine: (3, 30), theirs: (3, 31), newer: false, conflicting: true },
-        Case { mine: (0, 0), theirs: (0, 1), newer: false, conflicting: false },
+        Case {
+            mine: (3, 30),
+            theirs: (3, 30),
+            newer: false,
+            conflicting: false,
+        },
+        Case {
+            mine: (3, 30),
+            theirs: (4, 40),
+            newer: true,
+            conflicting: false,
+        },
+        Case {
+            mine: (3, 30),
+            theirs: (2, 20),
+            newer: false,
+            conflicting: false,
+        },
+        Case {
+            mine: (3, 30),
+            theirs: (3, 31),
+            newer: false,
+            conflicting: true,
+        },
+        Case {
+            mine: (0, 0),
+            theirs: (0, 1),
+            newer: false,
+            conflicting: false,
+        },
     ];
     for case in cases {
         let mut rng = SmallRng::seed_from_u64(1);
@@ -45,7 +76,10 @@
         a.set_config(case.mine.0, case.mine.1);
         b.set_config(case.theirs.0, case.theirs.1);
         let received = a.on_push(Monotonic::ZERO, &b.message(), &mut rng);
-        assert_eq!((received.newer_config, received.conflicting_config), (case.newer, case.conflicting));
+        assert_eq!(
+            (received.newer_config, received.conflicting_config),
+            (case.newer, case.conflicting)
+        );
     }
 }
 
--- a/src/process/host.rs
+++ b/src/process/host.rs
@@ -12,9 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::batches::Batches;
-use super::config_watch::{
-    ConfigActor, bootstrap, fetch_from_peers, watch_hosts, watch_versions,
-};
+use super::config_watch::{ConfigActor, bootstrap, fetch_from_peers, watch_hosts, watch_versions};
 use super::context::Context;
 use super::hints::Hints;
 use super::membership::LeaseView;
@@ -28,7 +26,7 @@
 use crate::connection::peer_pool::{Identity, PeerPool};
 use crate::connection::platform::Platform;
 use crate::error::{Error, Result};
-use crate::ids::{ConfigVersion, DomainId, HostId};
+use crate::ids::{ConfigVersion, DomainId, HostId, Incarnation};
 use crate::policy::Policy;
 use crate::request::coordinator::Coordinator;
 use crate::request::http::{CallerServer, serve_callers};
@@ -88,7 +86,11 @@
     /// [`Error::UnknownName`] or [`Error::Invalid`] where the configuration doesn't list the host
     /// as its settings do.
     pub async fn start(self) -> Result<Host> {
-        let Self { settings, policy, links } = self;
+        let Self {
+            settings,
+            policy,
+            links,
+        } = self;
         let callers = listen(settings.caller_addr).await?;
         let peers = listen(settings.peer_addr).await?;
         let platform = settings.platform.map(Platform::new);
@@ -124,23 +126,37 @@
         let batches = Batches::new(context.clone(), owner.clone());
         let hints: Arc<Mutex<Hints>> = Arc::default();
         let keeper = Keeper::new(context.clone(), batches.clone(), hints.clone());
-        let coordinator =
-            Coordinator::new(context.clone(), batches.clone(), keeper.clone(), hints);
+        let coordinator = Coordinator::new(context.clone(), batches.clone(), keeper.clone(), hints);
         let (newer_at, newer) = mpsc::unbounded_channel();
         let membership =
             MembershipActor::spawn(MembershipActor::new(context.clone(), owner, newer_at));
         let config_actor =
             ConfigActor::spawn(ConfigActor::new(context.clone(), store, membership.clone()));
-        let host = Host { context: context.clone(), membership: membership.clone() };
+        let host = Host {
+            context: context.clone(),
+            membership: membership.clone(),
+        };
         if let Some(platform) = platform {
-            host.spawn(watch_versions(context.clone(), platform, config_actor.clone()));
+            host.spawn(watch_versions(
+                context.clone(),
+                platform,
+                config_actor.clone(),
+            ));
             host.spawn(watch_hosts(context.clone(), platform, config_actor.clone()));
         }
         host.spawn(fetch_from_peers(context.clone(), newer, config_actor));
         host.spawn(tick(membership.clone()));
-        let parts = PeerParts { context: context.clone(), batches, keeper, membership };
+        let parts = PeerParts {
+            context: context.clone(),
+            batches,
+            keeper,
+            membership,
+        };
         host.spawn(serve_peers(peers, parts));
-        tokio::spawn(serve_callers(callers, CallerServer::new(context, coordinator)));
+        tokio::spawn(serve_callers(
+            callers,
+            CallerServer::new(context, coordinator),
+        ));
         Ok(host)
     }
 }
@@ -155,7 +171,11 @@
 impl Host {
     /// Starts to build a host.
     pub fn builder(settings: Settings) -> HostBuilder {
-        HostBuilder { settings, policy: Policy::FULL, links: Arc::default() }
+        HostBuilder {
+            settings,
+            policy: Policy::FULL,
+            links: Arc::default(),
+        }
     }
 
     /// Returns the configuration version in force.
@@ -163,7 +183,12 @@
         self.context.operational.load().config.version
     }
 
-    /// Tells whether the host holds its own seat, or serves without one while it can't.
+    /// Returns the number of this life, which is higher for each life of a host.
+    pub fn life(&self) -> Incarnation {
+        self.context.incarnation
+    }
+
+    /// Tells whether callers are sent here.
     pub fn is_ready(&self) -> bool {
         self.context.is_ready()
     }
@@ -223,7 +248,9 @@
 }
 
 async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|source| Error::Address { addr, source })
+    TcpListener::bind(addr)
+        .await
+        .map_err(|source| Error::Address { addr, source })
 }
 
 fn check_settings(settings: &Settings, config: &crate::version::config::Config) -> Result<()> {
@@ -244,6 +271,8 @@
 
 /// Returns a number that is higher for each life of a host.
 fn incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     crate::clock::micros(since)
 }
--- a/src/process/latency.rs
+++ b/src/process/latency.rs
@@ -22,7 +22,10 @@
 impl Default for LatencyTracker {
     fn default() -> Self {
         let empty = Histogram::new_with_bounds(1, MAX_LATENCY_US, 2).expect("the bounds are valid");
-        Self { current: empty.clone(), previous: empty }
+        Self {
+            current: empty.clone(),
+            previous: empty,
+        }
     }
 }
 
@@ -38,7 +41,11 @@
 
     /// Returns a quantile of the recent past, or `None` while there are too few samples.
     pub fn quantile(&self, quantile: f64) -> Option<Duration> {
-        let source = if self.previous.is_empty() { &self.current } else { &self.previous };
+        let source = if self.previous.is_empty() {
+            &self.current
+        } else {
+            &self.previous
+        };
         let value = source.value_at_quantile(quantile);
         (source.len() >= MIN_SAMPLES).then(|| Duration::from_micros(value))
     }
--- a/src/process/membership/tests.rs
+++ b/src/process/membership/tests.rs
@@ -33,8 +33,14 @@
             most_holders: 0,
             operational,
         };
-        let ids: Vec<HostId> =
-            fleet.operational.config.fleet.hosts.iter().map(|h| h.id.clone()).collect();
+        let ids: Vec<HostId> = fleet
+            .operational
+            .config
+            .fleet
+            .hosts
+            .iter()
+            .map(|h| h.id.clone())
+            .collect();
         for id in ids {
             fleet.start(&id, 1);
         }
@@ -42,8 +48,13 @@
     }
 
     fn start(&mut self, id: &HostId, incarnation: Incarnation) {
-        let host =
-            Membership::new(self.now, id.clone(), incarnation, self.operational.clone(), Periodic);
+        let host = Membership::new(
+            self.now,
+            id.clone(),
+            incarnation,
+            self.operational.clone(),
+            Periodic,
+        );
         self.hosts.insert(id.clone(), host);
     }
 
@@ -71,7 +82,9 @@
             if self.cut.contains(from) != self.cut.contains(&to) {
                 continue;
             }
-            let Some(peer) = self.hosts.get_mut(&to) else { continue };
+            let Some(peer) = self.hosts.get_mut(&to) else {
+                continue;
+            };
             match action {
                 Action::Claim(_, claim) => {
                     let reply = peer.on_claim(self.now, &claim);
@@ -88,19 +101,35 @@
     }
 
     fn check(&mut self) {
-        let seats: Vec<HostId> =
-            self.operational.config.fleet.hosts.iter().map(|h| h.id.clone()).collect();
+        let seats: Vec<HostId> = self
+            .operational
+            .config
+            .fleet
+            .hosts
+            .iter()
+            .map(|h| h.id.clone())
+            .collect();
         for seat in seats {
             let holders = self.holders(&seat);
             self.most_holders = self.most_holders.max(holders.len());
-            assert!(holders.len() <= 1, "{seat} is held by {holders:?} at {:?}", self.now);
+            assert!(
+                holders.len() <= 1,
+                "{seat} is held by {holders:?} at {:?}",
+                self.now
+            );
         }
     }
 
     fn holders(&mut self, seat: &HostId) -> Vec<HostId> {
         let now = self.now;
-        let views = self.hosts.iter_mut().map(|(id, host)| (id.clone(), host.view(now)));
-        views.filter(|(id, v)| v.role(now, id, seat) == Role::Holder).map(|(id, _)| id).collect()
+        let views = self
+            .hosts
+            .iter_mut()
+            .map(|(id, host)| (id.clone(), host.view(now)));
+        views
+            .filter(|(id, v)| v.role(now, id, seat) == Role::Holder)
+            .map(|(id, _)| id)
+            .collect()
     }
 }
 
@@ -130,7 +159,11 @@
     fleet.in_flight.insert(standby, 1);
     fleet.start(&id("entry-1"), 2);
     fleet.run(Duration::from_millis(1_000));
-    assert_eq!(fleet.holders(&id("entry-1")), Vec::<HostId>::new(), "still in flight");
+    assert_eq!(
+        fleet.holders(&id("entry-1")),
+        Vec::<HostId>::new(),
+        "still in flight"
+    );
     fleet.in_flight.clear();
     fleet.run(Duration::from_secs(2));
     assert_eq!(fleet.holders(&id("entry-1")), [id("entry-1")]);
--- a/src/request/coordinator.rs
+++ b/src/request/coordinator.rs
@@ -70,8 +70,14 @@
 }
 
 enum Event {
-    Part { sent_at: Monotonic, part: Part },
-    Failed { items: Vec<BatchItem>, outcome: Outcome<()> },
+    Part {
+        sent_at: Monotonic,
+        part: Part,
+    },
+    Failed {
+        items: Vec<BatchItem>,
+        outcome: Outcome<()>,
+    },
 }
 
 /// One run of a query on one pinned version.
@@ -98,7 +104,14 @@
         hints: Arc<Mutex<Hints>>,
     ) -> Arc<Self> {
         let (latencies, budgets) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { context, batches, keeper, hints, latencies, budgets })
+        Arc::new(Self {
+            context,
+            batches,
+            keeper,
+            hints,
+            latencies,
+            budgets,
+        })
     }
 
     /// Runs a request to its outcome, at the latest shortly before its deadline.
@@ -140,9 +153,11 @@
         deadline: Monotonic,
     ) -> (Outcome<Answer>, bool) {
         let shards: BTreeMap<ShardId, &Shard> = match service.kind {
-            Kind::Fetch | Kind::Submit => {
-                service.shard_of(&query.key).into_iter().map(|s| (s.id, s)).collect()
-            }
+            Kind::Fetch | Kind::Submit => service
+                .shard_of(&query.key)
+                .into_iter()
+                .map(|s| (s.id, s))
+                .collect(),
             Kind::Listing | Kind::Lookup => service.shards.iter().map(|s| (s.id, s)).collect(),
         };
         let limit = (service.kind == Kind::Listing).then_some(query.limit as usize);
@@ -167,8 +182,12 @@
     fn hedge_delay(&self, service: &Service) -> Duration {
         let typical = Duration::from_millis(service.limits.typical_ms);
         let latencies = self.latencies.lock().expect("no holder of the lock panics");
-        let tracked = latencies.get(&service.id).and_then(|t| t.quantile(LATE_QUANTILE));
-        tracked.map_or(typical * START_HEDGE_FACTOR, |late| late.max(typical * MIN_HEDGE_FACTOR))
+        let tracked = latencies
+            .get(&service.id)
+            .and_then(|t| t.quantile(LATE_QUANTILE));
+        tracked.map_or(typical * START_HEDGE_FACTOR, |late| {
+            late.max(typical * MIN_HEDGE_FACTOR)
+        })
     }
 
     fn record_latency(&self, service: &ServiceId, took: Duration) {
@@ -222,7 +241,9 @@
 
     async fn submit_to(&self, host: &HostId, query: Query, deadline: Monotonic) -> Outcome<Answer> {
         let unreachable = Outcome::NotRun(NotRunReason::Unreachable);
-        let Some(to) = self.context.address(host) else { return unreachable };
+        let Some(to) = self.context.address(host) else {
+            return unreachable;
+        };
         let Some(deadline_us) = self.context.peers.deadline_at(&to, deadline).await else {
             return unreachable;
         };
@@ -241,7 +262,10 @@
 
 impl Run<'_> {
     /// Drives the query until it is answered, settled or out of time.
-    async fn finish(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) -> (Outcome<Answer>, bool) {
+    async fn finish(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Event>,
+    ) -> (Outcome<Answer>, bool) {
         let started = self.now();
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         self.coordinator.with_budgets(&self.service.id, |b| {
@@ -287,7 +311,11 @@
             .then_some(started + self.hedge_delay * EARLY_FACTOR)
             .filter(|at| *at > self.now());
         let retry = self.retries.iter().map(|(at, _)| *at).min();
-        [Some(self.deadline), hedge_at, early, retry].into_iter().flatten().min().unwrap_or_default()
+        [Some(self.deadline), hedge_at, early, retry]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or_default()
     }
 
     fn on_event(&mut self, event: Event) {
@@ -295,7 +323,11 @@
         let (part, reported) = match event {
             Event::Part { sent_at, part } => {
                 let took = now.saturating_sub(sent_at);
-                for _ in part.ended.iter().filter(|r| matches!(r.outcome, Outcome::Answered(()))) {
+                for _ in part
+                    .ended
+                    .iter()
+                    .filter(|r| matches!(r.outcome, Outcome::Answered(())))
+                {
                     self.coordinator.record_latency(&self.service.id, took);
                 }
                 (part, true)
@@ -308,7 +340,14 @@
                     expected_us: 0,
                     warm: false,
                 });
-                (Part { ended: ended.collect(), rows: Vec::new(), pending: 0 }, false)
+                (
+                    Part {
+                        ended: ended.collect(),
+                        rows: Vec::new(),
+                        pending: 0,
+                    },
+                    false,
+                )
             }
         };
         self.take_hints(now, &part, reported);
@@ -325,7 +364,11 @@
     }
 
     fn take_hints(&self, now: Monotonic, part: &Part, reported: bool) {
-        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let mut hints = self
+            .coordinator
+            .hints
+            .lock()
+            .expect("no holder of the lock panics");
         let mut overloaded = false;
         for report in &part.ended {
             let expected = Duration::from_micros(report.expected_us);
@@ -348,7 +391,9 @@
     /// Plans the next attempt at a shard, if its failure and the budget allow one.
     fn plan_retry(&mut self, now: Monotonic, shard: ShardId) {
         let tried = self.gather.tried(shard).len();
-        let Some(failure) = self.gather.failure(shard) else { return };
+        let Some(failure) = self.gather.failure(shard) else {
+            return;
+        };
         let touched = matches!(
             failure,
             Outcome::Unknown(_) | Outcome::NotRun(NotRunReason::Shed | NotRunReason::VersionGone)
@@ -361,21 +406,27 @@
             return;
         }
         if touched && self.coordinator.context.policy.retry_budget {
-            let spent =
-                self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now));
+            let spent = self
+                .coordinator
+                .with_budgets(&self.service.id, |b| b.retry.try_spend(now));
             if !spent {
                 return;
             }
         }
         let replicas = self.shards.get(&shard).map_or(0, |s| s.servers.len());
         let rounds = u32::try_from(tried / replicas.max(1)).unwrap_or(u32::MAX);
-        let backoff = if rounds == 0 { Duration::ZERO } else { FIRST_BACKOFF * (1 << rounds.min(6)) };
+        let backoff = if rounds == 0 {
+            Duration::ZERO
+        } else {
+            FIRST_BACKOFF * (1 << rounds.min(6))
+        };
         self.retries.push((now + backoff, shard));
     }
 
     fn retry_due(&mut self, now: Monotonic) {
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.retries).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.retries)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
         self.retries = later;
         let shards: Vec<ShardId> = due.into_iter().map(|(_, shard)| shard).collect();
         if !shards.is_empty() {
@@ -391,8 +442,13 @@
         let now = self.now();
         for shard in self.gather.first_attempts() {
             let candidates = self.candidates(shard);
-            let Some(n) = choose_hedge(&candidates) else { continue };
-            if !self.coordinator.with_budgets(&self.service.id, |b| b.hedge.try_spend(now)) {
+            let Some(n) = choose_hedge(&candidates) else {
+                continue;
+            };
+            if !self
+                .coordinator
+                .with_budgets(&self.service.id, |b| b.hedge.try_spend(now))
+            {
                 return;
             }
             let server = self.shards[&shard].servers[n].clone();
@@ -404,7 +460,11 @@
         let now = self.now();
         let typical = Duration::from_millis(self.service.limits.typical_ms);
         let newest = self.coordinator.context.operational.load();
-        let hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let hints = self
+            .coordinator
+            .hints
+            .lock()
+            .expect("no holder of the lock panics");
         let tried = self.gather.tried(shard);
         let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
         let candidate = |server: &Server| {
@@ -417,7 +477,11 @@
     /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
     fn send(&mut self, shards: &[ShardId], kind: &'static str) {
         let two_choices = self.coordinator.context.policy.two_choices;
-        let choice = if two_choices { Choice::TwoChoices } else { Choice::Random };
+        let choice = if two_choices {
+            Choice::TwoChoices
+        } else {
+            Choice::Random
+        };
         let mut chosen = Vec::with_capacity(shards.len());
         for shard in shards {
             let mut candidates = self.candidates(*shard);
@@ -439,8 +503,12 @@
         let newest = context.operational.load();
         let mut by_owner: BTreeMap<HostId, Vec<BatchItem>> = BTreeMap::new();
         for (shard, server) in chosen {
-            let entry = newest.server(&server.id).or_else(|| self.pinned.server(&server.id));
-            let Some(seat) = entry.map(|entry| entry.seat.clone()) else { continue };
+            let entry = newest
+                .server(&server.id)
+                .or_else(|| self.pinned.server(&server.id));
+            let Some(seat) = entry.map(|entry| entry.seat.clone()) else {
+                continue;
+            };
             let owner = context.holder(&seat);
             let attempt = rand::rng().random();
             tracing::info!(
@@ -453,7 +521,11 @@
                 .lock()
                 .expect("no holder of the lock panics")
                 .on_sent(&server.id);
-            let item = BatchItem { attempt, shard, server: server.id };
+            let item = BatchItem {
+                attempt,
+                shard,
+                server: server.id,
+            };
             by_owner.entry(owner).or_default().push(item);
         }
         for (owner, items) in by_owner {
@@ -490,8 +562,13 @@
     /// Stops the attempts at a shard that another one answered first.
     fn cancel_losers(&mut self, shard: ShardId) {
         let running = self.gather.running(shard);
-        let Some(sent) = self.sent.get(&shard) else { return };
-        for (owner, id, _) in sent.iter().filter(|(_, _, server)| running.contains(server)) {
+        let Some(sent) = self.sent.get(&shard) else {
+            return;
+        };
+        for (owner, id, _) in sent
+            .iter()
+            .filter(|(_, _, server)| running.contains(server))
+        {
             let context = self.coordinator.context.clone();
             if *owner == context.me {
                 self.coordinator.batches.cancel(*id, &[shard]);
@@ -499,7 +576,9 @@
             }
             let (owner, id) = (owner.clone(), *id);
             tokio::spawn(async move {
-                let Some(to) = context.address(&owner) else { return };
+                let Some(to) = context.address(&owner) else {
+                    return;
+                };
                 let call = |client: crate::connection::peer::PeerClient, ctx| async move {
                     client.cancel(ctx, id, vec![shard]).await
                 };
@@ -511,7 +590,11 @@
     /// Gives up what still runs; dropping the calls stops it at the owners.
     fn abandon(&mut self) {
         self.calls.abort_all();
-        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let mut hints = self
+            .coordinator
+            .hints
+            .lock()
+            .expect("no holder of the lock panics");
         for shard in self.shards.keys() {
             for server in self.gather.running(*shard) {
                 hints.on_abandoned(server);
@@ -540,7 +623,10 @@
                 Err(CallError::Lost) => Outcome::Unknown(UnknownReason::ConnectionLost),
                 Ok(()) => Outcome::Unknown(UnknownReason::TimedOut),
             };
-            let _ = self.events.send(Event::Failed { items: left, outcome });
+            let _ = self.events.send(Event::Failed {
+                items: left,
+                outcome,
+            });
         }
     }
 
@@ -554,9 +640,16 @@
             }
             return Ok(());
         }
-        let to = self.context.address(&self.owner).ok_or(CallError::NotSent)?;
-        let deadline_us =
-            self.context.peers.deadline_at(&to, self.deadline).await.ok_or(CallError::NotSent)?;
+        let to = self
+            .context
+            .address(&self.owner)
+            .ok_or(CallError::NotSent)?;
+        let deadline_us = self
+            .context
+            .peers
+            .deadline_at(&to, self.deadline)
+            .await
+            .ok_or(CallError::NotSent)?;
         batch.deadline_us = deadline_us;
         let timeout = || self.deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
         let call = |client: crate::connection::peer::PeerClient, ctx| async move {
@@ -581,7 +674,10 @@
     fn report(&self, part: Part, left: &mut Vec<BatchItem>) -> bool {
         left.retain(|item| !part.ended.iter().any(|report| report.shard == item.shard));
         let more = part.pending > 0 && !left.is_empty();
-        let _ = self.events.send(Event::Part { sent_at: self.sent_at, part });
+        let _ = self.events.send(Event::Part {
+            sent_at: self.sent_at,
+            part,
+        });
         more
     }
 }
--- a/src/version/config.rs
+++ b/src/version/config.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
-use serde::de::DeserializeOwned;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
 use crate::derive::{data, key};
@@ -215,7 +215,8 @@
     pub fn shard_of(&self, key: &str) -> Option<&Shard> {
         let count = u64::try_from(self.shards.len()).ok()?;
         let hash = stable_hash(DOCUMENT_HASH_SEED, key.as_bytes());
-        self.shards.get(usize::try_from(hash.checked_rem(count)?).ok()?)
+        self.shards
+            .get(usize::try_from(hash.checked_rem(count)?).ok()?)
     }
 }
 
@@ -240,18 +241,26 @@
         let documents = self
             .documents()
             .into_iter()
-            .map(|(name, text)| DocumentRef { name, hash: document_hash(&text) })
+            .map(|(name, text)| DocumentRef {
+                name,
+                hash: document_hash(&text),
+            })
             .collect();
-        Manifest { version: self.version, documents }
+        Manifest {
+            version: self.version,
+            documents,
+        }
     }
 
     /// Returns the documents of this version as their names and contents.
     pub fn documents(&self) -> Vec<(SmolStr, String)> {
         let fleet = (SmolStr::new_static(FLEET_DOCUMENT), to_json(&self.fleet));
-        let services = self
-            .services
-            .iter()
-            .map(|service| (SmolStr::new(format!("service-{}", service.id)), to_json(service)));
+        let services = self.services.iter().map(|service| {
+            (
+                SmolStr::new(format!("service-{}", service.id)),
+                to_json(service),
+            )
+        });
         std::iter::once(fleet).chain(services).collect()
     }
 
@@ -282,7 +291,11 @@
         }
         let fleet = fleet.ok_or_else(|| Error::malformed("manifest", "it names no fleet"))?;
         services.sort_by(|a, b| a.id.cmp(&b.id));
-        Ok(Self { version: manifest.version, fleet, services })
+        Ok(Self {
+            version: manifest.version,
+            fleet,
+            services,
+        })
     }
 
     /// Returns a hash over all documents, equal only for equal content.
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -3,7 +3,7 @@
 pub mod check;
 pub mod config;
 pub mod diff;
-pub mod operations;
 pub mod operational;
+pub mod operations;
 pub mod placement;
 pub mod questionnaire;
