--- a/src/bin/quetzal/commands.rs
+++ b/src/bin/quetzal/commands.rs
@@ -40,16 +40,9 @@
             print!("{}", capacity::table());
             Ok(())
         }
-        Command::Questionnaire {
-            version,
-            out,
-            answers,
-        } => generate(version, out, answers),
+        Command::Questionnaire { version, out, answers } => generate(version, out, answers),
         Command::Check { config } => read_config(&config).map(|config| {
-            println!(
-                "version {} of {} is valid",
-                config.version, config.fleet.deployment
-            );
+            println!("version {} of {} is valid", config.version, config.fleet.deployment);
         }),
         Command::Diff { old, new } => compare(&old, &new),
         Command::TakeOut { target, config } => prepare(&config, target, true),
@@ -87,13 +80,8 @@
         name: name.to_owned(),
         known: known.join(", "),
     };
-    let deployment = Deployment::named(&options.deployment).ok_or_else(|| {
-        unknown(
-            "deployment",
-            &options.deployment,
-            vec!["tarlac", "moka-labs"],
-        )
-    })?;
+    let deployment = Deployment::named(&options.deployment)
+        .ok_or_else(|| unknown("deployment", &options.deployment, vec!["tarlac", "moka-labs"]))?;
     let scenarios = options
         .scenario
         .split('+')
@@ -130,10 +118,8 @@
     let config = Questionnaire::from_toml(&text)?.generate(version)?;
     let json = serde_json::to_string_pretty(&config).expect("plain data always serializes");
     match out {
-        Some(path) => std::fs::write(&path, json).map_err(|source| Error::File {
-            path: path.display().to_string(),
-            source,
-        }),
+        Some(path) => std::fs::write(&path, json)
+            .map_err(|source| Error::File { path: path.display().to_string(), source }),
         None => {
             println!("{json}");
             Ok(())
@@ -146,17 +132,11 @@
     let input = std::io::stdin();
     if !input.is_terminal() {
         let text = std::io::read_to_string(input.lock());
-        return text.map_err(|source| Error::File {
-            path: "standard input".to_owned(),
-            source,
-        });
+        return text.map_err(|source| Error::File { path: "standard input".to_owned(), source });
     }
     let mut answer = String::new();
     print!("Which deployment do you start from, tarlac or moka-labs? ");
-    let file = |source| Error::File {
-        path: "standard input".to_owned(),
-        source,
-    };
+    let file = |source| Error::File { path: "standard input".to_owned(), source };
     std::io::stdout().flush().map_err(file)?;
     input.lock().read_line(&mut answer).map_err(file)?;
     let name = answer.trim();
@@ -179,16 +159,10 @@
         return Ok(line.to_owned());
     };
     print!("{name} [{value}]: ");
-    let file = |source| Error::File {
-        path: "standard input".to_owned(),
-        source,
-    };
+    let file = |source| Error::File { path: "standard input".to_owned(), source };
     std::io::stdout().flush().map_err(file)?;
     let mut answer = String::new();
-    std::io::stdin()
-        .lock()
-        .read_line(&mut answer)
-        .map_err(file)?;
+    std::io::stdin().lock().read_line(&mut answer).map_err(file)?;
     let answer = answer.trim();
     let quoted = value.starts_with('"') && !answer.starts_with('"');
     Ok(match answer {
@@ -202,12 +176,7 @@
     let changes = diff(&read_config(old)?, &read_config(new)?);
     for change in &changes {
         let side = |value: &Option<String>| value.clone().unwrap_or_else(|| "(none)".to_owned());
-        println!(
-            "{}: {} -> {}",
-            change.path,
-            side(&change.old),
-            side(&change.new)
-        );
+        println!("{}: {} -> {}", change.path, side(&change.old), side(&change.new));
     }
     if changes.is_empty() {
         println!("nothing differs");
@@ -239,10 +208,7 @@
         let Some(seat) = placement::seat_of(&config, server) else {
             continue;
         };
-        let standby = placement::candidates(&config, &seat)
-            .get(1)
-            .cloned()
-            .unwrap_or_default();
+        let standby = placement::candidates(&config, &seat).get(1).cloned().unwrap_or_default();
         let witnesses = placement::witnesses(&config, &seat);
         println!(
             "{} in {}: owned by {seat}, the best-ranked host of the domain; standby {standby}; \
@@ -271,25 +237,14 @@
         limit: None,
         resend: options.resend,
     };
-    let wait = options
-        .deadline_ms
-        .map_or(DEFAULT_WAIT, Duration::from_millis);
-    match Caller::new(options.hosts)
-        .query(&options.service, &body, wait)
-        .await
-    {
+    let wait = options.deadline_ms.map_or(DEFAULT_WAIT, Duration::from_millis);
+    match Caller::new(options.hosts).query(&options.service, &body, wait).await {
         Ok(reply) => {
             show(&reply);
             let answered = reply.outcome == "answered";
-            Ok(if answered {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            })
+            Ok(if answered { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
-        Err(error) => Err(miette::miette!(
-            "no reply: {error:?}; name a host that is up by --host"
-        )),
+        Err(error) => Err(miette::miette!("no reply: {error:?}; name a host that is up by --host")),
     }
 }
 
@@ -303,15 +258,10 @@
 }
 
 fn read(path: &Path) -> Result<String> {
-    std::fs::read_to_string(path).map_err(|source| Error::File {
-        path: path.display().to_string(),
-        source,
-    })
+    std::fs::read_to_string(path)
+        .map_err(|source| Error::File { path: path.display().to_string(), source })
 }
 
 fn show<T: Serialize>(value: &T) {
-    println!(
-        "{}",
-        serde_json::to_string_pretty(value).expect("plain data always serializes")
-    );
+    println!("{}", serde_json::to_string_pretty(value).expect("plain data always serializes"));
 }
--- a/src/bin/quetzald/main.rs
+++ b/src/bin/quetzald/main.rs
@@ -32,9 +32,7 @@
 
 fn start_log(format: LogFormat) {
     let filter = EnvFilter::try_from_env("QUETZAL_LOG").unwrap_or_else(|_| DEFAULT_LOG.into());
-    let log = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
--- a/src/bin/quetzald/options.rs
+++ b/src/bin/quetzald/options.rs
@@ -49,12 +49,7 @@
     #[bpaf(long("peer"), argument("IP:PORT"), many)]
     peers: Vec<SocketAddr>,
     /// How log lines are written: text or json
-    #[bpaf(
-        long,
-        env("QUETZAL_LOG_FORMAT"),
-        argument("FORMAT"),
-        fallback(LogFormat::Text)
-    )]
+    #[bpaf(long, env("QUETZAL_LOG_FORMAT"), argument("FORMAT"), fallback(LogFormat::Text))]
     pub log_format: LogFormat,
 }
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -21,9 +21,7 @@
 impl Clock {
     /// Starts a clock at zero.
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// Returns the time since the process started.
--- a/src/clock/tests.rs
+++ b/src/clock/tests.rs
@@ -11,14 +11,8 @@
         delays_ms: &'static [u64],
     }
     let cases = [
-        Case {
-            true_offset_us: 5_000_000,
-            delays_ms: &[1, 9, 3],
-        },
-        Case {
-            true_offset_us: -200_000,
-            delays_ms: &[40, 2],
-        },
+        Case { true_offset_us: 5_000_000, delays_ms: &[1, 9, 3] },
+        Case { true_offset_us: -200_000, delays_ms: &[40, 2] },
     ];
     for case in cases {
         let mut offset = PeerOffset::default();
@@ -29,14 +23,9 @@
             offset.observe(read_at.cast_unsigned(), now);
         }
         let deadline = now + MS(50);
-        let mapped = offset
-            .to_peer_us(deadline)
-            .expect("an exchange was observed");
+        let mapped = offset.to_peer_us(deadline).expect("an exchange was observed");
         let truth = micros(deadline).cast_signed() + case.true_offset_us;
         assert!(mapped.cast_signed() <= truth);
-        assert!(
-            truth - mapped.cast_signed() <= 3_000,
-            "a short exchange bounds the error"
-        );
+        assert!(truth - mapped.cast_signed() <= 3_000, "a short exchange bounds the error");
     }
 }
--- a/src/connection/backend.rs
+++ b/src/connection/backend.rs
@@ -135,20 +135,11 @@
         let stream = TcpStream::connect(addr).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let fence = Arc::new(Fence::new(clock));
-        let mut sender = connect_over(FencedStream::new(stream, fence.clone()))
-            .await
-            .ok()?;
-        let response = sender
-            .send_request(get_request("/v1/instance"))
-            .await
-            .ok()?;
+        let mut sender = connect_over(FencedStream::new(stream, fence.clone())).await.ok()?;
+        let response = sender.send_request(get_request("/v1/instance")).await.ok()?;
         let bytes = read_body(response).await.ok()?;
         let Instance { instance } = serde_json::from_slice(&bytes).ok()?;
-        Some(Self {
-            sender,
-            fence,
-            instance,
-        })
+        Some(Self { sender, fence, instance })
     }
 
     pub(crate) const fn instance(&self) -> &InstanceId {
@@ -169,10 +160,7 @@
             };
         }
         self.fence.arm(valid_until);
-        let sent = self
-            .sender
-            .send_request(json_request("/v1/run", request))
-            .await;
+        let sent = self.sender.send_request(json_request("/v1/run", request)).await;
         let response = match sent {
             Ok(response) => response,
             Err(_) if self.fence.was_written() => {
@@ -183,27 +171,17 @@
             }
             Err(_) => {
                 let over = self.fence.is_over();
-                let reason = if over {
-                    NotRunReason::DeadlineTooClose
-                } else {
-                    NotRunReason::Unreachable
-                };
-                return Exchange {
-                    outcome: Outcome::NotRun(reason),
-                    reusable: false,
-                };
+                let reason =
+                    if over { NotRunReason::DeadlineTooClose } else { NotRunReason::Unreachable };
+                return Exchange { outcome: Outcome::NotRun(reason), reusable: false };
             }
         };
         let status = response.status();
         match read_body(response).await {
-            Ok(bytes) => Exchange {
-                outcome: verify(request, status, &bytes),
-                reusable: true,
-            },
-            Err(_) => Exchange {
-                outcome: Outcome::Unknown(UnknownReason::BadReply),
-                reusable: false,
-            },
+            Ok(bytes) => Exchange { outcome: verify(request, status, &bytes), reusable: true },
+            Err(_) => {
+                Exchange { outcome: Outcome::Unknown(UnknownReason::BadReply), reusable: false }
+            }
         }
     }
 
@@ -213,10 +191,7 @@
             return false;
         }
         self.fence.arm(Monotonic::MAX);
-        let sent = self
-            .sender
-            .send_request(json_request("/v1/cancel", &Cancel { attempt }))
-            .await;
+        let sent = self.sender.send_request(json_request("/v1/cancel", &Cancel { attempt })).await;
         match sent {
             Ok(response) => read_body(response).await.is_ok(),
             Err(_) => false,
@@ -245,11 +220,7 @@
         && reply.index_version == request.index_version
         && reply.rows.len() <= request.limit as usize
         && reply.rows.iter().all(|row| row.shard == request.shard);
-    if own {
-        Outcome::Answered(reply.rows)
-    } else {
-        bad
-    }
+    if own { Outcome::Answered(reply.rows) } else { bad }
 }
 
 #[cfg(test)]
--- a/src/connection/backend/tests.rs
+++ b/src/connection/backend/tests.rs
@@ -18,12 +18,7 @@
 }
 
 fn row(shard: ShardId) -> Row {
-    Row {
-        shard,
-        rank: 1,
-        key: "k".into(),
-        text: "x".into(),
-    }
+    Row { shard, rank: 1, key: "k".into(), text: "x".into() }
 }
 
 #[test]
@@ -34,56 +29,22 @@
         accepted: bool,
     }
     let cases = [
-        Case {
-            name: "own",
-            change: |_| {},
-            accepted: true,
-        },
-        Case {
-            name: "of another attempt",
-            change: |r| r.attempt = 8,
-            accepted: false,
-        },
-        Case {
-            name: "of another shard",
-            change: |r| r.shard = 4,
-            accepted: false,
-        },
-        Case {
-            name: "of another version",
-            change: |r| r.index_version = 1,
-            accepted: false,
-        },
-        Case {
-            name: "row of another shard",
-            change: |r| r.rows[0].shard = 4,
-            accepted: false,
-        },
-        Case {
-            name: "too many rows",
-            change: |r| r.rows = vec![row(3); 3],
-            accepted: false,
-        },
+        Case { name: "own", change: |_| {}, accepted: true },
+        Case { name: "of another attempt", change: |r| r.attempt = 8, accepted: false },
+        Case { name: "of another shard", change: |r| r.shard = 4, accepted: false },
+        Case { name: "of another version", change: |r| r.index_version = 1, accepted: false },
+        Case { name: "row of another shard", change: |r| r.rows[0].shard = 4, accepted: false },
+        Case { name: "too many rows", change: |r| r.rows = vec![row(3); 3], accepted: false },
     ];
     for case in cases {
-        let mut reply = RunReply {
-            attempt: 7,
-            shard: 3,
-            index_version: 2,
-            rows: vec![row(3)],
-        };
+        let mut reply = RunReply { attempt: 7, shard: 3, index_version: 2, rows: vec![row(3)] };
         (case.change)(&mut reply);
         let bytes = serde_json::to_vec(&reply).unwrap();
         let outcome = verify(&request(), StatusCode::OK, &bytes);
         let accepted = matches!(outcome, Outcome::Answered(_));
         assert_eq!(accepted, case.accepted, "{}: {outcome:?}", case.name);
         let truncated = verify(&request(), StatusCode::OK, &bytes[..bytes.len() - 1]);
-        assert_eq!(
-            truncated,
-            Outcome::Unknown(UnknownReason::BadReply),
-            "{}",
-            case.name
-        );
+        assert_eq!(truncated, Outcome::Unknown(UnknownReason::BadReply), "{}", case.name);
     }
 }
 
@@ -94,11 +55,7 @@
         refusal: Refusal,
         outcome: Outcome<Vec<Row>>,
     }
-    let refusal = |attempt, reason, not_run| Refusal {
-        attempt,
-        reason,
-        not_run,
-    };
+    let refusal = |attempt, reason, not_run| Refusal { attempt, reason, not_run };
     let cases = [
         Case {
             name: "shed",
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -42,11 +42,7 @@
 impl Caller {
     /// Starts with hosts to ask first.
     pub fn new(seeds: Vec<SocketAddr>) -> Self {
-        Self {
-            seeds,
-            answer: tokio::sync::Mutex::new(None),
-            idle: Mutex::default(),
-        }
+        Self { seeds, answer: tokio::sync::Mutex::new(None), idle: Mutex::default() }
     }
 
     /// Asks one host which hosts to use.
@@ -55,9 +51,7 @@
     ///
     /// Returns an error where the host can't be reached or answers with something unusable.
     pub async fn entry_hosts(addr: SocketAddr) -> Result<EntryHosts> {
-        Ok(call(addr, get_request("/v1/entry-hosts"), ASK_TIMEOUT)
-            .await?
-            .1)
+        Ok(call(addr, get_request("/v1/entry-hosts"), ASK_TIMEOUT).await?.1)
     }
 
     /// Asks one host for its status.
@@ -77,11 +71,7 @@
             let response = sender.send_request(get_request("/v1/ready")).await.ok()?;
             Some(response.status().is_success())
         };
-        tokio::time::timeout(ASK_TIMEOUT, ready)
-            .await
-            .ok()
-            .flatten()
-            .unwrap_or(false)
+        tokio::time::timeout(ASK_TIMEOUT, ready).await.ok().flatten().unwrap_or(false)
     }
 
     /// Sends a request to the best host of a current address answer.
@@ -133,10 +123,7 @@
         {
             return list.clone();
         }
-        let known = answer
-            .as_ref()
-            .map(|(_, list)| list.clone())
-            .unwrap_or_default();
+        let known = answer.as_ref().map(|(_, list)| list.clone()).unwrap_or_default();
         for addr in known.iter().chain(&self.seeds) {
             let asked = Instant::now();
             if let Ok(hosts) = Self::entry_hosts(*addr).await
@@ -170,10 +157,7 @@
             stream.set_nodelay(true).ok()?;
             connect_over(stream).await.ok()
         };
-        tokio::time::timeout(CONNECT_TIMEOUT, connect)
-            .await
-            .ok()
-            .flatten()
+        tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok().flatten()
     }
 
     fn give_back(&self, addr: SocketAddr, sender: SendRequest<Body>) {
--- a/src/connection/fence.rs
+++ b/src/connection/fence.rs
@@ -24,18 +24,13 @@
 
 impl Fence {
     pub(crate) const fn new(clock: Clock) -> Self {
-        Self {
-            clock,
-            valid_until_us: AtomicU64::new(u64::MAX),
-            written: AtomicBool::new(false),
-        }
+        Self { clock, valid_until_us: AtomicU64::new(u64::MAX), written: AtomicBool::new(false) }
     }
 
     /// Arms the fence for one request.
     pub(crate) fn arm(&self, valid_until: Monotonic) {
         self.written.store(false, Ordering::SeqCst);
-        self.valid_until_us
-            .store(micros(valid_until), Ordering::SeqCst);
+        self.valid_until_us.store(micros(valid_until), Ordering::SeqCst);
     }
 
     /// Tells whether any byte was handed to the socket since the fence was armed.
@@ -54,10 +49,7 @@
             return Ok(());
         }
         if self.is_over() {
-            return Err(io::Error::new(
-                io::ErrorKind::TimedOut,
-                "no longer valid, not sent",
-            ));
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "no longer valid, not sent"));
         }
         Ok(())
     }
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -76,16 +76,10 @@
 ) -> Result<(StatusCode, T)> {
     let remote = |why: String| Error::Remote { addr, why };
     let exchange = async {
-        let stream = TcpStream::connect(addr)
-            .await
-            .map_err(|source| Error::Address { addr, source })?;
-        let mut sender = connect_over(stream)
-            .await
-            .map_err(|e| remote(e.to_string()))?;
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(|e| remote(e.to_string()))?;
+        let stream =
+            TcpStream::connect(addr).await.map_err(|source| Error::Address { addr, source })?;
+        let mut sender = connect_over(stream).await.map_err(|e| remote(e.to_string()))?;
+        let response = sender.send_request(request).await.map_err(|e| remote(e.to_string()))?;
         let status = response.status();
         let bytes = read_body(response).await.map_err(remote)?;
         let value = serde_json::from_slice(&bytes).map_err(|e| remote(e.to_string()))?;
--- a/src/connection/links.rs
+++ b/src/connection/links.rs
@@ -46,11 +46,7 @@
 
     /// Lets a message cross, or returns `false` where it is lost.
     pub async fn cross(&self, from: &DomainId, to: &DomainId) -> bool {
-        let one_way = self
-            .rules
-            .read()
-            .expect("no holder of the lock panics")
-            .one_way;
+        let one_way = self.rules.read().expect("no holder of the lock panics").one_way;
         if from != to && !one_way.is_zero() {
             tokio::time::sleep(one_way).await;
         }
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -80,6 +80,8 @@
         pub rows: Vec<Row>,
         /// How many shards of the batch go on.
         pub pending: u32,
+        /// The time from the batch's arrival to this part, in microseconds.
+        pub held_us: u64,
     }
 
     /// The outcome of one shard of a batch.
@@ -94,6 +96,8 @@
         pub expected_us: u64,
         /// The server is believed warm.
         pub warm: bool,
+        /// The time from the batch's arrival to the shard's end, in microseconds.
+        pub took_us: u64,
     }
 
     /// A non-idempotent request on its way to its keeper.
@@ -158,9 +162,7 @@
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, Self::Error> {
-        postcard::to_allocvec(item)
-            .map(Bytes::from)
-            .map_err(io::Error::other)
+        postcard::to_allocvec(item).map(Bytes::from).map_err(io::Error::other)
     }
 }
 
--- a/src/connection/peer_pool.rs
+++ b/src/connection/peer_pool.rs
@@ -66,12 +66,7 @@
 
 impl PeerPool {
     pub(crate) fn new(me: Identity, clock: Clock, links: Arc<Links>) -> Self {
-        Self {
-            me,
-            clock,
-            links,
-            peers: Mutex::new(HashMap::new()),
-        }
+        Self { me, clock, links, peers: Mutex::new(HashMap::new()) }
     }
 
     /// Calls a peer and waits at most `timeout` for the result.
@@ -118,31 +113,19 @@
     /// Maps a deadline to a peer's clock; connects first where the peer's clock is unknown.
     pub(crate) async fn deadline_at(&self, to: &PeerAddress, deadline: Monotonic) -> Option<u64> {
         let peer = self.peer(&to.host);
-        let known = peer
-            .offset
-            .lock()
-            .expect("no holder of the lock panics")
-            .to_peer_us(deadline);
+        let known = peer.offset.lock().expect("no holder of the lock panics").to_peer_us(deadline);
         if known.is_some() {
             return known;
         }
-        tokio::time::timeout(CONNECT_TIMEOUT, self.client(&peer, to))
-            .await
-            .ok()??;
-        peer.offset
-            .lock()
-            .expect("no holder of the lock panics")
-            .to_peer_us(deadline)
+        tokio::time::timeout(CONNECT_TIMEOUT, self.client(&peer, to)).await.ok()??;
+        peer.offset.lock().expect("no holder of the lock panics").to_peer_us(deadline)
     }
 
     /// Takes in a reading of a peer's clock.
     pub(crate) fn observe_clock(&self, host: &HostId, clock_us: u64) {
         let now = self.clock.now();
         let peer = self.peer(host);
-        peer.offset
-            .lock()
-            .expect("no holder of the lock panics")
-            .observe(clock_us, now);
+        peer.offset.lock().expect("no holder of the lock panics").observe(clock_us, now);
     }
 
     fn peer(&self, host: &HostId) -> Arc<Peer> {
@@ -208,9 +191,8 @@
 pub(crate) async fn dial(addr: SocketAddr) -> Option<PeerClient> {
     let stream = TcpStream::connect(addr).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let framed = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_framed(stream);
+    let framed =
+        LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
     let transport: Transport<_, _, _, Postcard> = tarpc::serde_transport::new(framed, Postcard);
     let mut config = tarpc::client::Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
--- a/src/connection/platform.rs
+++ b/src/connection/platform.rs
@@ -58,9 +58,7 @@
         let mut documents = Vec::new();
         for entry in &manifest.documents {
             let same = |text: &String| crate::version::config::document_hash(text) == entry.hash;
-            let known = held
-                .iter()
-                .find(|(name, text)| *name == entry.name && same(text));
+            let known = held.iter().find(|(name, text)| *name == entry.name && same(text));
             let text = match known {
                 Some((_, text)) => text.clone(),
                 None => self.document(entry).await?,
@@ -68,10 +66,7 @@
             documents.push((entry.name.clone(), text));
         }
         Config::from_documents(manifest, |entry| {
-            documents
-                .iter()
-                .find(|(name, _)| *name == entry.name)
-                .map(|(_, text)| text.clone())
+            documents.iter().find(|(name, _)| *name == entry.name).map(|(_, text)| text.clone())
         })
     }
 
@@ -91,9 +86,6 @@
         if status.is_success() {
             return Ok(text);
         }
-        Err(Error::Remote {
-            addr: self.addr,
-            why: format!("{status} for {}", entry.name),
-        })
+        Err(Error::Remote { addr: self.addr, why: format!("{status} for {}", entry.name) })
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,17 +90,10 @@
         value: impl ToString,
         remedy: impl Into<String>,
     ) -> Self {
-        Self::Invalid {
-            field: field.into(),
-            value: value.to_string(),
-            remedy: remedy.into(),
-        }
+        Self::Invalid { field: field.into(), value: value.to_string(), remedy: remedy.into() }
     }
 
     pub(crate) fn malformed(what: impl Into<String>, why: impl ToString) -> Self {
-        Self::Malformed {
-            what: what.into(),
-            why: why.to_string(),
-        }
+        Self::Malformed { what: what.into(), why: why.to_string() }
     }
 }
--- a/src/measure/capacity.rs
+++ b/src/measure/capacity.rs
@@ -68,12 +68,7 @@
     let snapshot_us = started.elapsed().as_secs_f64() * 1e6;
     let config_bytes: usize = config.documents().iter().map(|(_, text)| text.len()).sum();
     let mut rng = SmallRng::seed_from_u64(SEED);
-    let ids: Vec<HostId> = config
-        .fleet
-        .hosts
-        .iter()
-        .map(|host| host.id.clone())
-        .collect();
+    let ids: Vec<HostId> = config.fleet.hosts.iter().map(|host| host.id.clone()).collect();
     let mut members: Vec<Membership<RandomizedTokens>> = ids
         .iter()
         .map(|id| Membership::new(Monotonic::ZERO, id.clone(), 1, operational.clone(), GOSSIP))
--- a/src/measure/demo.rs
+++ b/src/measure/demo.rs
@@ -35,16 +35,10 @@
 }
 
 async fn tour(deployment: Deployment, print: &impl Fn(String)) -> Result<()> {
-    print(format!(
-        "Starting {}: platform, backend servers, entry hosts ...",
-        deployment.name()
-    ));
+    print(format!("Starting {}: platform, backend servers, entry hosts ...", deployment.name()));
     let fleet = Fleet::start(deployment, Policy::FULL, SEED).await?;
     let hosts = fleet.host_ids().len();
-    print(format!(
-        "  {} backend servers, {hosts} entry hosts; warming up",
-        fleet.servers.len()
-    ));
+    print(format!("  {} backend servers, {hosts} entry hosts; warming up", fleet.servers.len()));
     Load::new(&fleet, SEED, 1.0).run(&fleet, WARM_UP).await;
     print(format!(
         "{:<22} {:<16} {:>9} {:>8} {:>10} {:>6}",
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -48,9 +48,7 @@
 
     /// Returns the deployment of a name.
     pub fn named(name: &str) -> Option<Self> {
-        [Self::Tarlac, Self::MokaLabs]
-            .into_iter()
-            .find(|deployment| deployment.name() == name)
+        [Self::Tarlac, Self::MokaLabs].into_iter().find(|deployment| deployment.name() == name)
     }
 
     /// Returns its answers to the questionnaire.
@@ -133,10 +131,7 @@
             late_in_force: Mutex::default(),
         });
         fleet.note_shards(&config);
-        let starting = fleet
-            .all_settings
-            .iter()
-            .map(|settings| fleet.start_host(&settings.host));
+        let starting = fleet.all_settings.iter().map(|settings| fleet.start_host(&settings.host));
         futures::future::try_join_all(starting).await?;
         fleet.await_ready().await?;
         Ok(fleet)
@@ -144,34 +139,22 @@
 
     /// Returns the newest configuration.
     pub fn config(&self) -> Arc<Config> {
-        self.config
-            .lock()
-            .expect("no holder of the lock panics")
-            .clone()
+        self.config.lock().expect("no holder of the lock panics").clone()
     }
 
     /// Returns the callers' addresses of all hosts.
     pub fn caller_addrs(&self) -> Vec<SocketAddr> {
-        self.all_settings
-            .iter()
-            .map(|settings| settings.caller_addr)
-            .collect()
+        self.all_settings.iter().map(|settings| settings.caller_addr).collect()
     }
 
     /// Returns the names of all hosts.
     pub fn host_ids(&self) -> Vec<HostId> {
-        self.all_settings
-            .iter()
-            .map(|settings| settings.host.clone())
-            .collect()
+        self.all_settings.iter().map(|settings| settings.host.clone()).collect()
     }
 
     /// Returns how many shards a service has in an index version.
     pub fn shard_count(&self, service: &str, version: IndexVersion) -> Option<u32> {
-        let counts = self
-            .shard_counts
-            .lock()
-            .expect("no holder of the lock panics");
+        let counts = self.shard_counts.lock().expect("no holder of the lock panics");
         counts.get(&(service.into(), version)).copied()
     }
 
@@ -188,17 +171,8 @@
 
     /// Returns the longest time that a version took, and how many took too long.
     pub fn in_force(&self) -> (Duration, u64) {
-        let slowest = *self
-            .slowest_in_force
-            .lock()
-            .expect("no holder of the lock panics");
-        (
-            slowest,
-            *self
-                .late_in_force
-                .lock()
-                .expect("no holder of the lock panics"),
-        )
+        let slowest = *self.slowest_in_force.lock().expect("no holder of the lock panics");
+        (slowest, *self.late_in_force.lock().expect("no holder of the lock panics"))
     }
 
     /// Starts a host, or a new life of one that ended.
@@ -207,10 +181,7 @@
     ///
     /// Returns an error where its addresses can't be listened on.
     pub async fn start_host(&self, id: &HostId) -> Result<()> {
-        let settings = self
-            .all_settings
-            .iter()
-            .find(|settings| settings.host == *id);
+        let settings = self.all_settings.iter().find(|settings| settings.host == *id);
         let Some(settings) = settings.cloned() else {
             return Ok(());
         };
@@ -261,10 +232,7 @@
             while !Caller::is_ready(settings.caller_addr).await {
                 if Instant::now() >= until {
                     let why = "not ready in time".to_owned();
-                    return Err(Error::Remote {
-                        addr: settings.caller_addr,
-                        why,
-                    });
+                    return Err(Error::Remote { addr: settings.caller_addr, why });
                 }
                 tokio::time::sleep(READY_RECHECK).await;
             }
@@ -275,37 +243,21 @@
     async fn watch_in_force(&self, version: ConfigVersion) {
         let published = Instant::now();
         let everywhere = async {
-            while !self
-                .versions_in_force()
-                .await
-                .iter()
-                .all(|(_, _, v)| *v >= version)
-            {
+            while !self.versions_in_force().await.iter().all(|(_, _, v)| *v >= version) {
                 tokio::time::sleep(READY_RECHECK).await;
             }
         };
-        let in_time = tokio::time::timeout(IN_FORCE_WITHIN, everywhere)
-            .await
-            .is_ok();
+        let in_time = tokio::time::timeout(IN_FORCE_WITHIN, everywhere).await.is_ok();
         let took = published.elapsed();
-        let mut slowest = self
-            .slowest_in_force
-            .lock()
-            .expect("no holder of the lock panics");
+        let mut slowest = self.slowest_in_force.lock().expect("no holder of the lock panics");
         *slowest = took.max(*slowest);
         if !in_time {
-            *self
-                .late_in_force
-                .lock()
-                .expect("no holder of the lock panics") += 1;
+            *self.late_in_force.lock().expect("no holder of the lock panics") += 1;
         }
     }
 
     fn note_shards(&self, config: &Config) {
-        let mut counts = self
-            .shard_counts
-            .lock()
-            .expect("no holder of the lock panics");
+        let mut counts = self.shard_counts.lock().expect("no holder of the lock panics");
         for service in &config.services {
             let count = u32::try_from(service.shards.len()).unwrap_or(u32::MAX);
             counts.insert((service.id.clone(), service.index_version), count);
--- a/src/measure/gossip_trial.rs
+++ b/src/measure/gossip_trial.rs
@@ -60,16 +60,10 @@
     add("periodic push", trial(hosts, loss_percent, seed, Periodic));
     for capacity in [3, 10] {
         let strategy = SimpleTokens { capacity };
-        add(
-            &format!("simple C={capacity}"),
-            trial(hosts, loss_percent, seed, strategy),
-        );
+        add(&format!("simple C={capacity}"), trial(hosts, loss_percent, seed, strategy));
     }
     for (spend_divisor, capacity) in [(1, 3), (2, 6), (5, 10)] {
-        let strategy = RandomizedTokens {
-            spend_divisor,
-            capacity,
-        };
+        let strategy = RandomizedTokens { spend_divisor, capacity };
         let name = format!("randomized A={spend_divisor} C={capacity}");
         add(&name, trial(hosts, loss_percent, seed, strategy));
     }
@@ -103,16 +97,11 @@
             None => missed += 1,
         }
         // A version that was missed must not be counted as the cost of the next one.
-        world
-            .nodes
-            .iter_mut()
-            .for_each(|node| node.set_config(version, version));
+        world.nodes.iter_mut().for_each(|node| node.set_config(version, version));
     }
     #[expect(clippy::cast_precision_loss)]
-    let (count, host_seconds) = (
-        times.len().max(1) as f64,
-        hosts as f64 * VERSIONS as f64 * VERSION_EVERY.as_secs_f64(),
-    );
+    let (count, host_seconds) =
+        (times.len().max(1) as f64, hosts as f64 * VERSIONS as f64 * VERSION_EVERY.as_secs_f64());
     #[expect(clippy::cast_precision_loss)]
     Trial {
         mean_all_s: times.iter().sum::<f64>() / count,
--- a/src/measure/host_thread.rs
+++ b/src/measure/host_thread.rs
@@ -30,17 +30,11 @@
         let (started, starting) = oneshot::channel();
         let (stop, stopped) = oneshot::channel();
         let thread = std::thread::spawn(move || {
-            let runtime = Builder::new_current_thread()
-                .enable_all()
-                .build()
-                .expect("a runtime can be built");
+            let runtime =
+                Builder::new_current_thread().enable_all().build().expect("a runtime can be built");
             let handle = runtime.handle().clone();
             runtime.block_on(async {
-                let built = Host::builder(settings)
-                    .policy(policy)
-                    .links(links)
-                    .start()
-                    .await;
+                let built = Host::builder(settings).policy(policy).links(links).start().await;
                 if started.send(built.map(|host| (host, handle))).is_ok() {
                     let _ = stopped.await;
                 }
@@ -48,12 +42,7 @@
             runtime.shutdown_background();
         });
         let (host, handle) = starting.await.expect("the thread answers before it ends")?;
-        Ok(Self {
-            host,
-            handle,
-            stop: Some(stop),
-            thread: Some(thread),
-        })
+        Ok(Self { host, handle, stop: Some(stop), thread: Some(thread) })
     }
 
     /// Stops everything in the host for a while, as a stopped process would.
--- a/src/measure/judge.rs
+++ b/src/measure/judge.rs
@@ -110,11 +110,7 @@
     let (Some(version), Some(coverage)) = (reply.index_version, &reply.coverage) else {
         return;
     };
-    if reply
-        .rows
-        .iter()
-        .any(|row| version_of(row) != Some(version))
-    {
+    if reply.rows.iter().any(|row| version_of(row) != Some(version)) {
         violations.snapshot += 1;
         tracing::warn!(request = %sending.request, version, "rows of another index version");
         return;
@@ -148,30 +144,15 @@
     let config = fleet.config();
     let service = config.service(&sending.service)?;
     let limit = service.row_limit;
-    let rows = |shard| {
-        shard_rows(
-            sending.kind,
-            shard,
-            version,
-            &sending.term,
-            &sending.key,
-            limit,
-        )
-    };
+    let rows = |shard| shard_rows(sending.kind, shard, version, &sending.term, &sending.key, limit);
     match sending.kind {
         Kind::Listing | Kind::Lookup => {
             let missing = missing_shards(coverage)?;
             if coverage.shards != shards || coverage.answered + count(&missing) != shards {
                 return None;
             }
-            let all = (0..shards)
-                .filter(|shard| !missing.contains(shard))
-                .flat_map(rows);
-            let bound = if sending.kind == Kind::Listing {
-                limit as usize
-            } else {
-                usize::MAX
-            };
+            let all = (0..shards).filter(|shard| !missing.contains(shard)).flat_map(rows);
+            let bound = if sending.kind == Kind::Listing { limit as usize } else { usize::MAX };
             Some(merge_rows(all.collect(), bound))
         }
         Kind::Fetch | Kind::Submit => (coverage.shards == 1).then(|| rows(0)),
--- a/src/measure/load.rs
+++ b/src/measure/load.rs
@@ -63,13 +63,7 @@
                 Arc::new(Caller::new(own))
             })
             .collect();
-        Self {
-            callers,
-            log: Arc::default(),
-            started: Instant::now(),
-            seed,
-            factor,
-        }
+        Self { callers, log: Arc::default(), started: Instant::now(), seed, factor }
     }
 
     /// Sends requests for a time and waits for the last reply.
@@ -156,10 +150,7 @@
             took: sent_at.elapsed(),
             result: result.clone(),
         };
-        log.lock()
-            .expect("no holder of the lock panics")
-            .sendings
-            .push(sending);
+        log.lock().expect("no holder of the lock panics").sendings.push(sending);
         let outcome = result.as_ref().map(|reply| reply.outcome.as_str());
         let again = match outcome {
             Ok("not_run") | Err(NoReply::NotSent) => true,
--- a/src/measure/report.rs
+++ b/src/measure/report.rs
@@ -100,26 +100,17 @@
     ) -> Self {
         let mut by_service: BTreeMap<ServiceId, Vec<&Sending>> = BTreeMap::new();
         for sending in &log.sendings {
-            by_service
-                .entry(sending.service.clone())
-                .or_default()
-                .push(sending);
+            by_service.entry(sending.service.clone()).or_default().push(sending);
         }
         let answered: u64 = log.sendings.iter().map(shards_answered).sum();
-        let extra = (totals.runs * PERMILLE)
-            .checked_div(answered)
-            .unwrap_or(0)
-            .cast_signed();
+        let extra = (totals.runs * PERMILLE).checked_div(answered).unwrap_or(0).cast_signed();
         Self {
             deployment: subject.deployment,
             scenario: subject.scenario,
             policy: subject.policy,
             seed: subject.seed,
             seconds: subject.time.as_secs(),
-            services: by_service
-                .iter()
-                .map(|(id, list)| (id.clone(), figures(list)))
-                .collect(),
+            services: by_service.iter().map(|(id, list)| (id.clone(), figures(list))).collect(),
             extra_load_permille: extra - PERMILLE.cast_signed(),
             sheds: totals.sheds,
             connection_overloads: totals.connection_overloads,
@@ -131,9 +122,7 @@
 
 fn shards_answered(sending: &Sending) -> u64 {
     let reply = sending.result.as_ref().ok();
-    reply
-        .and_then(|r| r.coverage.as_ref())
-        .map_or(0, |coverage| u64::from(coverage.answered))
+    reply.and_then(|r| r.coverage.as_ref()).map_or(0, |coverage| u64::from(coverage.answered))
 }
 
 fn figures(sendings: &[&Sending]) -> ServiceFigures {
@@ -227,12 +216,7 @@
             self.slowest_in_force_ms
         )?;
         write!(f, "violations {}", self.violations.total())?;
-        for (name, count) in self
-            .violations
-            .lines()
-            .into_iter()
-            .filter(|(_, count)| *count > 0)
-        {
+        for (name, count) in self.violations.lines().into_iter().filter(|(_, count)| *count > 0) {
             write!(f, ", {name} {count}")?;
         }
         writeln!(f)
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -15,7 +15,8 @@
 use crate::policy::Policy;
 
 /// Load before the measured time, so that servers are warm.
-const WARM_UP: Duration = Duration::from_secs(4);
+const WARM_UP: Duration = Duration::from_secs(5);
+const WARM_UP_FACTOR: f64 = 3.0;
 /// How often versions in force are read.
 const SAMPLE_EVERY: Duration = Duration::from_millis(100);
 
@@ -44,9 +45,7 @@
     /// Returns an error where the fleet can't be started.
     pub async fn run(&self) -> Result<Report> {
         let fleet = Fleet::start(self.deployment, self.policy.1, self.seed).await?;
-        Load::new(&fleet, self.seed ^ 1, self.load)
-            .run(&fleet, WARM_UP)
-            .await;
+        Load::new(&fleet, self.seed ^ 1, WARM_UP_FACTOR).run(&fleet, WARM_UP).await;
         let before = fleet.journal.totals();
         let reverted = Arc::new(AtomicU64::new(0));
         let sampler = tokio::spawn(count_reverted(fleet.clone(), reverted.clone()));
@@ -66,20 +65,13 @@
         sampler.abort();
         let reverted = reverted.load(Ordering::Relaxed);
         let hosts_failed = self.scenarios.iter().any(|(_, s)| s.fails_hosts());
-        let circumstances = Circumstances {
-            hosts_failed,
-            reverted,
-        };
+        let circumstances = Circumstances { hosts_failed, reverted };
         let violations = judge(&fleet, &log, circumstances);
         let after = fleet.journal.totals();
         let mut totals = after;
         totals.runs -= before.runs;
         totals.sheds -= before.sheds;
-        let names: Vec<&str> = self
-            .scenarios
-            .iter()
-            .map(|(name, _)| name.as_str())
-            .collect();
+        let names: Vec<&str> = self.scenarios.iter().map(|(name, _)| name.as_str()).collect();
         let subject = Subject {
             deployment: self.deployment.name().to_owned(),
             scenario: names.join("+"),
@@ -87,13 +79,7 @@
             seed: self.seed,
             time: self.time,
         };
-        Ok(Report::new(
-            subject,
-            &log,
-            totals,
-            fleet.in_force().0,
-            violations,
-        ))
+        Ok(Report::new(subject, &log, totals, fleet.in_force().0, violations))
     }
 }
 
--- a/src/measure/scenario.rs
+++ b/src/measure/scenario.rs
@@ -70,10 +70,7 @@
 impl Scenario {
     /// Returns the scenario of a name.
     pub fn named(name: &str) -> Option<Self> {
-        NAMED
-            .iter()
-            .find(|(known, _)| *known == name)
-            .map(|(_, scenario)| *scenario)
+        NAMED.iter().find(|(known, _)| *known == name).map(|(_, scenario)| *scenario)
     }
 
     /// Tells whether hosts die, or callers' connections may break.
@@ -83,11 +80,7 @@
 
     /// Plays the script over a time.
     pub async fn play(self, fleet: Arc<Fleet>, time: Duration, seed: u64) {
-        let mut script = Script {
-            rng: SmallRng::seed_from_u64(seed),
-            fleet,
-            time,
-        };
+        let mut script = Script { rng: SmallRng::seed_from_u64(seed), fleet, time };
         match self {
             Self::Steady => {}
             Self::Straggler => script.straggler().await,
@@ -136,24 +129,16 @@
     async fn straggler(&mut self) {
         let ids = self.some_servers();
         self.wait(25).await;
-        ids.iter()
-            .for_each(|id| self.fleet.servers[id].set_slow_factor(STRAGGLER_FACTOR));
+        ids.iter().for_each(|id| self.fleet.servers[id].set_slow_factor(STRAGGLER_FACTOR));
         self.wait(50).await;
-        ids.iter()
-            .for_each(|id| self.fleet.servers[id].set_slow_factor(1.0));
+        ids.iter().for_each(|id| self.fleet.servers[id].set_slow_factor(1.0));
     }
 
     async fn overload(&mut self) {
         self.wait(25).await;
-        self.fleet
-            .servers
-            .values()
-            .for_each(|server| server.set_slow_factor(OVERLOAD_FACTOR));
+        self.fleet.servers.values().for_each(|server| server.set_slow_factor(OVERLOAD_FACTOR));
         self.wait(50).await;
-        self.fleet
-            .servers
-            .values()
-            .for_each(|server| server.set_slow_factor(1.0));
+        self.fleet.servers.values().for_each(|server| server.set_slow_factor(1.0));
     }
 
     async fn replica_loss(&mut self) {
@@ -234,17 +219,11 @@
     /// Moves the services of many shards to an index version with fewer, then more shards.
     async fn next_index_version(&mut self, version: u64) {
         let config = self.fleet.config();
-        let wide: Vec<Service> = config
-            .services
-            .iter()
-            .filter(|s| s.shards.len() > 1)
-            .cloned()
-            .collect();
+        let wide: Vec<Service> =
+            config.services.iter().filter(|s| s.shards.len() > 1).cloned().collect();
         for service in &wide {
             let both = [service.index_version, version];
-            service
-                .servers()
-                .for_each(|s| self.fleet.servers[&s.id].set_versions(both));
+            service.servers().for_each(|s| self.fleet.servers[&s.id].set_versions(both));
             let shards = if version.is_multiple_of(2) { 10 } else { 20 };
             let current = self.fleet.config();
             match repartition(&current, &service.id, version, shards) {
@@ -281,11 +260,7 @@
     }
 
     fn restart_servers_of(&self, domain: &DomainId) {
-        let servers = self
-            .fleet
-            .servers
-            .values()
-            .filter(|s| s.server().domain == *domain);
+        let servers = self.fleet.servers.values().filter(|s| s.server().domain == *domain);
         servers.for_each(|server| server.restart());
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,41 +22,11 @@
 /// The policies that a measurement can choose, by name.
 pub const NAMED: [(&str, Policy); 7] = [
     ("full", Policy::FULL),
-    (
-        "no-hedging",
-        Policy {
-            hedging: false,
-            ..Policy::FULL
-        },
-    ),
-    (
-        "no-retry-budget",
-        Policy {
-            retry_budget: false,
-            ..Policy::FULL
-        },
-    ),
-    (
-        "random-choice",
-        Policy {
-            two_choices: false,
-            ..Policy::FULL
-        },
-    ),
-    (
-        "late-refusal",
-        Policy {
-            admission: Admission::Always,
-            ..Policy::FULL
-        },
-    ),
-    (
-        "no-cold-ramp",
-        Policy {
-            cold_ramp: false,
-            ..Policy::FULL
-        },
-    ),
+    ("no-hedging", Policy { hedging: false, ..Policy::FULL }),
+    ("no-retry-budget", Policy { retry_budget: false, ..Policy::FULL }),
+    ("random-choice", Policy { two_choices: false, ..Policy::FULL }),
+    ("late-refusal", Policy { admission: Admission::Always, ..Policy::FULL }),
+    ("no-cold-ramp", Policy { cold_ramp: false, ..Policy::FULL }),
     ("direct", Policy::DIRECT),
 ];
 
@@ -83,10 +53,7 @@
 
     /// Returns the policy of a name.
     pub fn named(name: &str) -> Option<Self> {
-        NAMED
-            .iter()
-            .find(|(known, _)| *known == name)
-            .map(|(_, policy)| *policy)
+        NAMED.iter().find(|(known, _)| *known == name).map(|(_, policy)| *policy)
     }
 }
 
--- a/src/process/batches.rs
+++ b/src/process/batches.rs
@@ -38,18 +38,14 @@
     pending: u32,
     kind: Kind,
     limit: usize,
+    arrived: Instant,
     _stop: DropGuard,
 }
 
 impl Batches {
     pub(crate) fn new(context: Arc<Context>, owner: Arc<Owner>) -> Arc<Self> {
         let (open, cancels) = (Mutex::default(), Mutex::default());
-        Arc::new(Self {
-            context,
-            owner,
-            open,
-            cancels,
-        })
+        Arc::new(Self { context, owner, open, cancels })
     }
 
     /// Runs a batch; returns when it is done or its flush time has come.
@@ -67,17 +63,9 @@
 
     /// Waits for more of a batch; an unknown one has nothing pending.
     pub(crate) async fn collect(self: &Arc<Self>, id: BatchId, deadline: Monotonic) -> Part {
-        let taken = self
-            .open
-            .lock()
-            .expect("no holder of the lock panics")
-            .remove(&id);
+        let taken = self.open.lock().expect("no holder of the lock panics").remove(&id);
         let Some(mut open) = taken else {
-            return Part {
-                ended: Vec::new(),
-                rows: Vec::new(),
-                pending: 0,
-            };
+            return Part { ended: Vec::new(), rows: Vec::new(), pending: 0, held_us: 0 };
         };
         let part = open.gather(Instant::now()).await;
         self.keep(id, open, deadline);
@@ -94,6 +82,7 @@
     }
 
     fn start(self: &Arc<Self>, batch: Batch, deadline: Monotonic) -> OpenBatch {
+        let arrived = Instant::now();
         let stop = CancellationToken::new();
         let (sender, results) = mpsc::unbounded_channel();
         let mut tokens = Vec::with_capacity(batch.items.len());
@@ -109,6 +98,7 @@
                     server: item.server,
                     expected_us: micros(result.expected),
                     warm: result.warm,
+                    took_us: micros(arrived.elapsed()),
                     outcome: result.outcome.clone().map(|_| ()),
                 };
                 let rows = match result.outcome {
@@ -118,26 +108,21 @@
                 let _ = sender.send((report, rows));
             });
         }
-        self.cancels
-            .lock()
-            .expect("no holder of the lock panics")
-            .insert(batch.id, tokens);
+        self.cancels.lock().expect("no holder of the lock panics").insert(batch.id, tokens);
         self.forget_after(batch.id, deadline);
         OpenBatch {
             results,
             pending: u32::try_from(batch.items.len()).unwrap_or(u32::MAX),
             kind: batch.kind,
             limit: batch.query.limit as usize,
+            arrived,
             _stop: stop.drop_guard(),
         }
     }
 
     fn keep(&self, id: BatchId, open: OpenBatch, deadline: Monotonic) {
         if open.pending > 0 && self.context.clock.now() < deadline + KEEP_AFTER_DEADLINE {
-            self.open
-                .lock()
-                .expect("no holder of the lock panics")
-                .insert(id, open);
+            self.open.lock().expect("no holder of the lock panics").insert(id, open);
         }
     }
 
@@ -146,16 +131,8 @@
         let at = self.context.clock.instant(deadline + KEEP_AFTER_DEADLINE);
         tokio::spawn(async move {
             tokio::time::sleep_until(at).await;
-            batches
-                .open
-                .lock()
-                .expect("no holder of the lock panics")
-                .remove(&id);
-            batches
-                .cancels
-                .lock()
-                .expect("no holder of the lock panics")
-                .remove(&id);
+            batches.open.lock().expect("no holder of the lock panics").remove(&id);
+            batches.cancels.lock().expect("no holder of the lock panics").remove(&id);
         });
     }
 }
@@ -184,11 +161,7 @@
         if self.kind == Kind::Listing {
             rows = merge_rows(rows, self.limit);
         }
-        Part {
-            ended,
-            rows,
-            pending: self.pending,
-        }
+        Part { ended, rows, pending: self.pending, held_us: micros(self.arrived.elapsed()) }
     }
 }
 
--- a/src/process/config_store.rs
+++ b/src/process/config_store.rs
@@ -20,9 +20,7 @@
     /// Returns [`Error::Invalid`] where it breaks a rule.
     pub fn new(first: Config) -> Result<Self> {
         check(&first)?;
-        Ok(Self {
-            current: Arc::new(first),
-        })
+        Ok(Self { current: Arc::new(first) })
     }
 
     /// Returns the version in force.
--- a/src/process/config_store/tests.rs
+++ b/src/process/config_store/tests.rs
@@ -5,10 +5,7 @@
 
 fn config(version: u64) -> Config {
     let text = include_str!("../../../examples/answers/tarlac.toml");
-    Questionnaire::from_toml(text)
-        .unwrap()
-        .generate(version)
-        .unwrap()
+    Questionnaire::from_toml(text).unwrap().generate(version).unwrap()
 }
 
 #[test]
@@ -20,24 +17,9 @@
         in_force: u64,
     }
     let cases = [
-        Case {
-            name: "higher",
-            offered: || config(5),
-            result: Ok(true),
-            in_force: 5,
-        },
-        Case {
-            name: "again",
-            offered: || config(5),
-            result: Ok(false),
-            in_force: 5,
-        },
-        Case {
-            name: "stale",
-            offered: || config(4),
-            result: Ok(false),
-            in_force: 5,
-        },
+        Case { name: "higher", offered: || config(5), result: Ok(true), in_force: 5 },
+        Case { name: "again", offered: || config(5), result: Ok(false), in_force: 5 },
+        Case { name: "stale", offered: || config(4), result: Ok(false), in_force: 5 },
         Case {
             name: "other content",
             offered: || {
@@ -68,12 +50,7 @@
             result: Err("another deployment"),
             in_force: 5,
         },
-        Case {
-            name: "next",
-            offered: || config(6),
-            result: Ok(true),
-            in_force: 6,
-        },
+        Case { name: "next", offered: || config(6), result: Ok(true), in_force: 6 },
     ];
     let mut store = ConfigStore::new(config(3)).unwrap();
     for case in cases {
--- a/src/process/config_watch.rs
+++ b/src/process/config_watch.rs
@@ -47,12 +47,7 @@
         store: ConfigStore,
         membership: ActorRef<MembershipActor>,
     ) -> Self {
-        Self {
-            context,
-            store,
-            leaving: HashSet::new(),
-            membership,
-        }
+        Self { context, store, leaving: HashSet::new(), membership }
     }
 
     async fn publish(&self) {
@@ -61,11 +56,7 @@
         let old = self.context.operational.swap(operational.clone());
         if old.config.fleet.hosts != operational.config.fleet.hosts {
             let now = self.context.clock.now();
-            *self
-                .context
-                .placed_at
-                .lock()
-                .expect("no holder of the lock panics") = now;
+            *self.context.placed_at.lock().expect("no holder of the lock panics") = now;
         }
         let _ = self.membership.tell(Adopted(operational)).await;
     }
@@ -102,10 +93,7 @@
 
     async fn handle(&mut self, Leaving(leaving): Leaving, _: &mut MessageContext<Self, ()>) {
         if leaving != self.leaving {
-            tracing::info!(
-                count = leaving.len(),
-                "the platform's list of leaving servers changed"
-            );
+            tracing::info!(count = leaving.len(), "the platform's list of leaving servers changed");
             self.leaving = leaving;
             self.publish().await;
         }
@@ -130,12 +118,7 @@
         let reached = context.links.reaches_platform(&context.me);
         match offered.await {
             Ok(Some(config)) if reached => {
-                let _ = actor
-                    .tell(Offer {
-                        config,
-                        source: "platform",
-                    })
-                    .await;
+                let _ = actor.tell(Offer { config, source: "platform" }).await;
             }
             Ok(None) if reached => tokio::time::sleep(RETRY_AFTER / 10).await,
             Ok(_) => tokio::time::sleep(RETRY_AFTER).await,
@@ -157,9 +140,7 @@
         if context.links.reaches_platform(&context.me)
             && let Ok(list) = platform.hosts().await
         {
-            let _ = actor
-                .tell(Leaving(list.leaving_servers.into_iter().collect()))
-                .await;
+            let _ = actor.tell(Leaving(list.leaving_servers.into_iter().collect())).await;
         }
         tokio::time::sleep(HOSTS_EVERY).await;
     }
@@ -178,12 +159,7 @@
         };
         let call = |client: PeerClient, ctx| async move { client.config_above(ctx, version).await };
         if let Ok(Some(config)) = context.peers.call(&address, FETCH_TIMEOUT, call).await {
-            let _ = actor
-                .tell(Offer {
-                    config,
-                    source: "peer",
-                })
-                .await;
+            let _ = actor.tell(Offer { config, source: "peer" }).await;
         }
     }
 }
@@ -208,10 +184,7 @@
             tasks.spawn(async move {
                 let asked = async {
                     let client = dial(addr).await?;
-                    client
-                        .config_above(tarpc::context::current(), 0)
-                        .await
-                        .ok()?
+                    client.config_above(tarpc::context::current(), 0).await.ok()?
                 };
                 if let Ok(Some(config)) = tokio::time::timeout(FETCH_TIMEOUT, asked).await {
                     let _ = found.send(config);
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -60,12 +60,22 @@
         self.leases.load().held.get(seat).map(|held| held.until)
     }
 
-    /// Returns the host to ask for a seat's servers: its holder as far as known, else its own.
+    /// Returns the host to ask for a seat's servers: its holder as far as known, else the best
+    /// candidate that takes part, else its own host.
     pub(crate) fn holder(&self, seat: &HostId) -> HostId {
         if !self.policy.owners {
             return self.me.clone();
         }
-        self.leases.load().holders.get(seat).unwrap_or(seat).clone()
+        let leases = self.leases.load();
+        if let Some(holder) = leases.holders.get(seat) {
+            return holder.clone();
+        }
+        let operational = self.operational.load();
+        let takes_part = |host: &&HostId| {
+            leases.live.contains_key(*host) || (**host == self.me && !leases.resigned)
+        };
+        let best = operational.candidates(seat).iter().find(takes_part);
+        best.unwrap_or(seat).clone()
     }
 
     /// Returns where a host is reached by its peers.
@@ -82,29 +92,21 @@
     /// Tells whether sending must wait for word from outside after a pause.
     pub(crate) fn must_wait(&self) -> bool {
         let now = self.clock.now();
-        self.pause
-            .lock()
-            .expect("no holder of the lock panics")
-            .must_wait(now)
+        self.pause.lock().expect("no holder of the lock panics").must_wait(now)
     }
 
     /// Takes in word from outside, asked for at `asked_at`, that confirms the configuration in
     /// force.
     pub(crate) fn confirm(&self, asked_at: Monotonic) {
-        self.pause
-            .lock()
-            .expect("no holder of the lock panics")
-            .on_confirmed(asked_at);
+        self.pause.lock().expect("no holder of the lock panics").on_confirmed(asked_at);
     }
 
     /// Tells whether callers may be sent here: the host is not leaving, operators let it take
     /// part, and it has had the time to take its seat.
     pub(crate) fn is_ready(&self) -> bool {
         let operational = self.operational.load();
-        let allowed = operational
-            .config
-            .host(&self.me)
-            .is_some_and(|host| operational.host_is_in(host));
+        let allowed =
+            operational.config.host(&self.me).is_some_and(|host| operational.host_is_in(host));
         let settled = self.clock.now() > operational.config.fleet.timing.lease();
         allowed && settled && !self.leaving.is_cancelled()
     }
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -116,11 +116,7 @@
     }
 
     fn reactive(&self, balance: u32, useful: bool) -> f64 {
-        if useful {
-            f64::from(balance) / f64::from(self.spend_divisor)
-        } else {
-            0.0
-        }
+        if useful { f64::from(balance) / f64::from(self.spend_divisor) } else { 0.0 }
     }
 }
 
@@ -229,12 +225,7 @@
             && self.config_version > 0
             && push.config_hash != self.config_hash;
         let sends = self.react(useful, rng);
-        Received {
-            sends,
-            newer_config,
-            conflicting_config,
-            useful,
-        }
+        Received { sends, newer_config, conflicting_config, useful }
     }
 
     /// Returns the message to send now: the least sent rumors first, this host's own among them.
@@ -242,18 +233,12 @@
         let own = self.own.clone();
         let at = self.renewed_at;
         let entry = self.known.entry(self.me.clone());
-        let known = entry.or_insert_with(|| Known {
-            rumor: own.clone(),
-            sent: 0,
-            received_at: at,
-        });
+        let known = entry.or_insert_with(|| Known { rumor: own.clone(), sent: 0, received_at: at });
         known.rumor = own;
         let mut order: Vec<&mut Known> = self.known.values_mut().collect();
         order.sort_by(|a, b| {
             let key = |k: &Known| (k.sent, std::cmp::Reverse(k.received_at));
-            key(a)
-                .cmp(&key(b))
-                .then_with(|| a.rumor.host.cmp(&b.rumor.host))
+            key(a).cmp(&key(b)).then_with(|| a.rumor.host.cmp(&b.rumor.host))
         });
         let rumors = order
             .into_iter()
@@ -273,10 +258,7 @@
 
     /// Returns what is known of every other host, with when it was learnt.
     pub fn rumors(&self) -> impl Iterator<Item = (&HostRumor, Monotonic)> {
-        let others = self
-            .known
-            .values()
-            .filter(|known| known.rumor.host != self.me);
+        let others = self.known.values().filter(|known| known.rumor.host != self.me);
         others.map(|known| (&known.rumor, known.received_at))
     }
 
@@ -300,11 +282,7 @@
         {
             return false;
         }
-        let known = Known {
-            rumor: rumor.clone(),
-            sent: 0,
-            received_at: now,
-        };
+        let known = Known { rumor: rumor.clone(), sent: 0, received_at: now };
         self.known.insert(rumor.host.clone(), known);
         true
     }
--- a/src/process/gossip/tests.rs
+++ b/src/process/gossip/tests.rs
@@ -6,10 +6,7 @@
 use super::*;
 
 fn node(name: &str) -> Gossip<RandomizedTokens> {
-    let strategy = RandomizedTokens {
-        spend_divisor: 2,
-        capacity: 6,
-    };
+    let strategy = RandomizedTokens { spend_divisor: 2, capacity: 6 };
     Gossip::new(name.into(), 1, strategy, Monotonic::ZERO)
 }
 
@@ -23,10 +20,7 @@
     assert!(a.set_own(Monotonic::ZERO, true, 0, SmallVec::new()));
     let second = a.message();
     assert!(b.on_push(Monotonic::ZERO, &second, &mut rng).useful);
-    assert!(
-        !b.on_push(Monotonic::ZERO, &first, &mut rng).useful,
-        "an older one arrives late"
-    );
+    assert!(!b.on_push(Monotonic::ZERO, &first, &mut rng).useful, "an older one arrives late");
     assert!(b.rumors().all(|(rumor, _)| rumor.leaving));
 }
 
@@ -39,36 +33,11 @@
         conflicting: bool,
     }
     let cases = [
-        Case {
-            mine: (3, 30),
-            theirs: (3, 30),
-            newer: false,
-            conflicting: false,
-        },
-        Case {
-            mine: (3, 30),
-            theirs: (4, 40),
-            newer: true,
-            conflicting: false,
-        },
-        Case {
-            mine: (3, 30),
-            theirs: (2, 20),
-            newer: false,
-            conflicting: false,
-        },
-        Case {
-            mine: (3, 30),
-            theirs: (3, 31),
-            newer: false,
-            conflicting: true,
-        },
-        Case {
-            mine: (0, 0),
-            theirs: (0, 1),
-            newer: false,
-            conflicting: false,
-        },
+        Case { mine: (3, 30), theirs: (3, 30), newer: false, conflicting: false },
+        Case { mine: (3, 30), theirs: (4, 40), newer: true, conflicting: false },
+        Case { mine: (3, 30), theirs: (2, 20), newer: false, conflicting: false },
+        Case { mine: (3, 30), theirs: (3, 31), newer: false, conflicting: true },
+        Case { mine: (0, 0), theirs: (0, 1), newer: false, conflicting: false },
     ];
     for case in cases {
         let mut rng = SmallRng::seed_from_u64(1);
--- a/src/process/hints.rs
+++ b/src/process/hints.rs
@@ -41,12 +41,7 @@
         tried: bool,
     ) -> Candidate {
         let Some(hint) = self.servers.get(server) else {
-            return Candidate {
-                expected: typical,
-                warm: false,
-                usable: open,
-                tried,
-            };
+            return Candidate { expected: typical, warm: false, usable: open, tried };
         };
         let age = now.saturating_sub(hint.at).min(FADE);
         let left = FADE.saturating_sub(age);
--- a/src/process/host.rs
+++ b/src/process/host.rs
@@ -86,11 +86,7 @@
     /// [`Error::UnknownName`] or [`Error::Invalid`] where the configuration doesn't list the host
     /// as its settings do.
     pub async fn start(self) -> Result<Host> {
-        let Self {
-            settings,
-            policy,
-            links,
-        } = self;
+        let Self { settings, policy, links } = self;
         let callers = listen(settings.caller_addr).await?;
         let peers = listen(settings.peer_addr).await?;
         let platform = settings.platform.map(Platform::new);
@@ -132,31 +128,16 @@
             MembershipActor::spawn(MembershipActor::new(context.clone(), owner, newer_at));
         let config_actor =
             ConfigActor::spawn(ConfigActor::new(context.clone(), store, membership.clone()));
-        let host = Host {
-            context: context.clone(),
-            membership: membership.clone(),
-        };
+        let host = Host { context: context.clone(), membership: membership.clone() };
         if let Some(platform) = platform {
-            host.spawn(watch_versions(
-                context.clone(),
-                platform,
-                config_actor.clone(),
-            ));
+            host.spawn(watch_versions(context.clone(), platform, config_actor.clone()));
             host.spawn(watch_hosts(context.clone(), platform, config_actor.clone()));
         }
         host.spawn(fetch_from_peers(context.clone(), newer, config_actor));
         host.spawn(tick(membership.clone()));
-        let parts = PeerParts {
-            context: context.clone(),
-            batches,
-            keeper,
-            membership,
-        };
+        let parts = PeerParts { context: context.clone(), batches, keeper, membership };
         host.spawn(serve_peers(peers, parts));
-        tokio::spawn(serve_callers(
-            callers,
-            CallerServer::new(context, coordinator),
-        ));
+        tokio::spawn(serve_callers(callers, CallerServer::new(context, coordinator)));
         Ok(host)
     }
 }
@@ -171,11 +152,7 @@
 impl Host {
     /// Starts to build a host.
     pub fn builder(settings: Settings) -> HostBuilder {
-        HostBuilder {
-            settings,
-            policy: Policy::FULL,
-            links: Arc::default(),
-        }
+        HostBuilder { settings, policy: Policy::FULL, links: Arc::default() }
     }
 
     /// Returns the configuration version in force.
@@ -248,9 +225,7 @@
 }
 
 async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|source| Error::Address { addr, source })
+    TcpListener::bind(addr).await.map_err(|source| Error::Address { addr, source })
 }
 
 fn check_settings(settings: &Settings, config: &crate::version::config::Config) -> Result<()> {
@@ -271,8 +246,6 @@
 
 /// Returns a number that is higher for each life of a host.
 fn incarnation() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     crate::clock::micros(since)
 }
--- a/src/process/latency.rs
+++ b/src/process/latency.rs
@@ -7,9 +7,9 @@
 use crate::clock::micros;
 
 /// Samples after which the older half is forgotten.
-const ROTATE_AFTER: u64 = 4_000;
+const ROTATE_AFTER: u64 = 400;
 /// Samples below which nothing is said.
-const MIN_SAMPLES: u64 = 100;
+const MIN_SAMPLES: u64 = 50;
 const MAX_LATENCY_US: u64 = 60_000_000;
 
 /// Two histograms in turn, so that old samples fade.
@@ -22,10 +22,7 @@
 impl Default for LatencyTracker {
     fn default() -> Self {
         let empty = Histogram::new_with_bounds(1, MAX_LATENCY_US, 2).expect("the bounds are valid");
-        Self {
-            current: empty.clone(),
-            previous: empty,
-        }
+        Self { current: empty.clone(), previous: empty }
     }
 }
 
@@ -41,11 +38,7 @@
 
     /// Returns a quantile of the recent past, or `None` while there are too few samples.
     pub fn quantile(&self, quantile: f64) -> Option<Duration> {
-        let source = if self.previous.is_empty() {
-            &self.current
-        } else {
-            &self.previous
-        };
+        let source = if self.previous.is_empty() { &self.current } else { &self.previous };
         let value = source.value_at_quantile(quantile);
         (source.len() >= MIN_SAMPLES).then(|| Duration::from_micros(value))
     }
--- a/src/process/lease.rs
+++ b/src/process/lease.rs
@@ -77,11 +77,7 @@
 impl Witness {
     /// Starts a witness that abstains for one lease, since an earlier life may have promised.
     pub fn new(now: Monotonic, lease: Duration) -> Self {
-        Self {
-            lease,
-            abstains_until: now + lease,
-            promises: HashMap::new(),
-        }
+        Self { lease, abstains_until: now + lease, promises: HashMap::new() }
     }
 
     /// Abstains again for one lease, because the set of witnesses has changed.
@@ -106,10 +102,7 @@
             };
             let epoch = promise.epoch;
             self.promises.insert(claim.seat.clone(), promise);
-            return ClaimReply::Granted {
-                epoch,
-                wanted: false,
-            };
+            return ClaimReply::Granted { epoch, wanted: false };
         };
         let same = promise.holder == claim.claimant && promise.incarnation == claim.incarnation;
         if !same && now < promise.until {
@@ -128,10 +121,7 @@
         }
         promise.until = until;
         let wanted = promise.wanted_at.is_some_and(|at| now < at + self.lease);
-        ClaimReply::Granted {
-            epoch: promise.epoch,
-            wanted,
-        }
+        ClaimReply::Granted { epoch: promise.epoch, wanted }
     }
 
     /// Ends the promise of a holder that has let go.
@@ -183,9 +173,7 @@
     /// Returns every host whose acknowledgement counts.
     pub fn witnesses(&self) -> impl Iterator<Item = &HostId> {
         let old = self.previous.iter().flat_map(|(list, _)| list);
-        self.witnesses
-            .iter()
-            .chain(old.filter(|w| !self.witnesses.contains(*w)))
+        self.witnesses.iter().chain(old.filter(|w| !self.witnesses.contains(*w)))
     }
 
     /// Takes in an acknowledgement; it counts from when the claim was sent.
@@ -219,10 +207,8 @@
         if witnesses.is_empty() {
             return Some(Monotonic::MAX);
         }
-        let mut acks: Vec<Monotonic> = witnesses
-            .iter()
-            .filter_map(|w| self.acks.get(w).copied())
-            .collect();
+        let mut acks: Vec<Monotonic> =
+            witnesses.iter().filter_map(|w| self.acks.get(w).copied()).collect();
         acks.sort_unstable_by(|a, b| b.cmp(a));
         let oldest = acks.get(majority(witnesses.len()) - 1)?;
         Some(*oldest + self.lease - margin)
@@ -231,11 +217,7 @@
     /// Tells whether the lease is valid, and notes since when it has been without a gap.
     pub fn refresh(&mut self, now: Monotonic) -> bool {
         let held = self.until(now).is_some_and(|until| now < until);
-        self.held_since = if held {
-            self.held_since.or(Some(now))
-        } else {
-            None
-        };
+        self.held_since = if held { self.held_since.or(Some(now)) } else { None };
         held
     }
 
--- a/src/process/lease/tests.rs
+++ b/src/process/lease/tests.rs
@@ -9,12 +9,7 @@
 }
 
 fn claim(claimant: &str, incarnation: Incarnation) -> Claim {
-    Claim {
-        seat: "a".into(),
-        claimant: claimant.into(),
-        incarnation,
-        epoch: 0,
-    }
+    Claim { seat: "a".into(), claimant: claimant.into(), incarnation, epoch: 0 }
 }
 
 #[test]
@@ -26,54 +21,14 @@
         granted: bool,
     }
     let cases = [
-        Case {
-            name: "restarted: abstains",
-            at_ms: 1_499,
-            claim: claim("a", 1),
-            granted: false,
-        },
-        Case {
-            name: "first claim",
-            at_ms: 1_500,
-            claim: claim("a", 1),
-            granted: true,
-        },
-        Case {
-            name: "standby too early",
-            at_ms: 2_999,
-            claim: claim("b", 1),
-            granted: false,
-        },
-        Case {
-            name: "renewal",
-            at_ms: 2_999,
-            claim: claim("a", 1),
-            granted: true,
-        },
-        Case {
-            name: "promise renewed",
-            at_ms: 4_498,
-            claim: claim("b", 1),
-            granted: false,
-        },
-        Case {
-            name: "a new life waits",
-            at_ms: 4_498,
-            claim: claim("a", 2),
-            granted: false,
-        },
-        Case {
-            name: "promise ran out",
-            at_ms: 4_499,
-            claim: claim("b", 1),
-            granted: true,
-        },
-        Case {
-            name: "own host waits",
-            at_ms: 4_600,
-            claim: claim("a", 1),
-            granted: false,
-        },
+        Case { name: "restarted: abstains", at_ms: 1_499, claim: claim("a", 1), granted: false },
+        Case { name: "first claim", at_ms: 1_500, claim: claim("a", 1), granted: true },
+        Case { name: "standby too early", at_ms: 2_999, claim: claim("b", 1), granted: false },
+        Case { name: "renewal", at_ms: 2_999, claim: claim("a", 1), granted: true },
+        Case { name: "promise renewed", at_ms: 4_498, claim: claim("b", 1), granted: false },
+        Case { name: "a new life waits", at_ms: 4_498, claim: claim("a", 2), granted: false },
+        Case { name: "promise ran out", at_ms: 4_499, claim: claim("b", 1), granted: true },
+        Case { name: "own host waits", at_ms: 4_600, claim: claim("a", 1), granted: false },
     ];
     let mut witness = Witness::new(ms(0), LEASE);
     for case in cases {
@@ -87,50 +42,22 @@
 fn the_standby_hears_that_the_own_host_wants_its_seat_back() {
     let mut witness = Witness::new(ms(0), LEASE);
     witness.on_claim(ms(2_000), &claim("b", 1));
-    assert_eq!(
-        witness.on_claim(ms(2_100), &claim("a", 5)),
-        ClaimReply::Held
-    );
+    assert_eq!(witness.on_claim(ms(2_100), &claim("a", 5)), ClaimReply::Held);
     let reply = witness.on_claim(ms(2_200), &claim("b", 1));
-    assert_eq!(
-        reply,
-        ClaimReply::Granted {
-            epoch: 1,
-            wanted: true
-        }
-    );
-    let release = Release {
-        seat: "a".into(),
-        holder: "b".into(),
-        incarnation: 1,
-    };
+    assert_eq!(reply, ClaimReply::Granted { epoch: 1, wanted: true });
+    let release = Release { seat: "a".into(), holder: "b".into(), incarnation: 1 };
     witness.on_release(ms(2_300), &release);
     let reply = witness.on_claim(ms(2_300), &claim("a", 5));
-    assert_eq!(
-        reply,
-        ClaimReply::Granted {
-            epoch: 2,
-            wanted: false
-        }
-    );
+    assert_eq!(reply, ClaimReply::Granted { epoch: 2, wanted: false });
 }
 
 #[test]
 fn a_release_of_an_earlier_life_changes_nothing() {
     let mut witness = Witness::new(ms(0), LEASE);
     witness.on_claim(ms(2_000), &claim("a", 2));
-    witness.on_release(
-        ms(2_100),
-        &Release {
-            seat: "a".into(),
-            holder: "a".into(),
-            incarnation: 1,
-        },
-    );
-    assert_eq!(
-        witness.on_claim(ms(2_200), &claim("b", 1)),
-        ClaimReply::Held
-    );
+    witness
+        .on_release(ms(2_100), &Release { seat: "a".into(), holder: "a".into(), incarnation: 1 });
+    assert_eq!(witness.on_claim(ms(2_200), &claim("b", 1)), ClaimReply::Held);
 }
 
 #[test]
@@ -143,10 +70,7 @@
     let until = ms(100) + LEASE - ms(150);
     assert_eq!(lease.until(ms(300)), Some(until));
     assert!(lease.refresh(until - ms(1)));
-    assert!(
-        !lease.refresh(until),
-        "the holder stops before the witnesses do"
-    );
+    assert!(!lease.refresh(until), "the holder stops before the witnesses do");
     assert_eq!(lease.held_since(), None);
 }
 
@@ -159,11 +83,7 @@
     for w in &new {
         lease.on_granted(w, ms(7_000), 1, false);
     }
-    assert_eq!(
-        lease.until(ms(7_100)),
-        None,
-        "the old witnesses may support another host"
-    );
+    assert_eq!(lease.until(ms(7_100)), None, "the old witnesses may support another host");
     assert!(lease.until(ms(8_000)).is_some());
     for w in &old {
         lease.on_granted(w, ms(7_000), 1, false);
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -114,9 +114,7 @@
         let config = &self.operational.config;
         let watched = |config| {
             let hosts = &old.config.fleet.hosts;
-            hosts
-                .iter()
-                .any(|h| placement::witnesses(config, &h.id).contains(&self.me))
+            hosts.iter().any(|h| placement::witnesses(config, &h.id).contains(&self.me))
         };
         let changed = config.fleet.hosts.iter().any(|host| {
             placement::witnesses(&old.config, &host.id) != placement::witnesses(config, &host.id)
@@ -225,11 +223,8 @@
     /// Returns every host that was heard of lately and is neither leaving nor taken out.
     fn live(&self, now: Monotonic) -> HashMap<HostId, u32> {
         let hosts = &self.operational.config.fleet.hosts;
-        let loads: HashMap<&HostId, u32> = self
-            .gossip
-            .rumors()
-            .map(|(rumor, _)| (&rumor.host, rumor.load))
-            .collect();
+        let loads: HashMap<&HostId, u32> =
+            self.gossip.rumors().map(|(rumor, _)| (&rumor.host, rumor.load)).collect();
         hosts
             .iter()
             .filter(|host| {
@@ -243,28 +238,20 @@
     fn holders(&self, now: Monotonic) -> HashMap<HostId, HostId> {
         let mut best: HashMap<HostId, (u64, HostId)> = HashMap::new();
         let heard = self.gossip.rumors().map(|(rumor, _)| rumor);
-        for rumor in heard
-            .filter(|r| !self.silent(now, &r.host))
-            .chain([self.gossip.own()])
-        {
+        for rumor in heard.filter(|r| !self.silent(now, &r.host)).chain([self.gossip.own()]) {
             for held in &rumor.holds {
-                let entry = best
-                    .entry(held.seat.clone())
-                    .or_insert((0, rumor.host.clone()));
+                let entry = best.entry(held.seat.clone()).or_insert((0, rumor.host.clone()));
                 if held.epoch > entry.0 {
                     *entry = (held.epoch, rumor.host.clone());
                 }
             }
         }
-        best.into_iter()
-            .map(|(seat, (_, host))| (seat, host))
-            .collect()
+        best.into_iter().map(|(seat, (_, host))| (seat, host)).collect()
     }
 
     fn set_config(&mut self, now: Monotonic) {
         let config = &self.operational.config;
-        self.gossip
-            .set_config(config.version, config.content_hash());
+        self.gossip.set_config(config.version, config.content_hash());
         for host in &config.fleet.hosts {
             self.heard.entry(host.id.clone()).or_insert(now);
         }
@@ -301,11 +288,8 @@
                     holder: self.me.clone(),
                     incarnation: self.incarnation,
                 };
-                actions.extend(
-                    lease
-                        .witnesses()
-                        .map(|w| Action::Release(w.clone(), release.clone())),
-                );
+                actions
+                    .extend(lease.witnesses().map(|w| Action::Release(w.clone(), release.clone())));
                 gone.push(seat.clone());
                 continue;
             }
@@ -342,15 +326,8 @@
             if self.seats.contains_key(seat) {
                 continue;
             }
-            let better = self
-                .operational
-                .candidates(seat)
-                .iter()
-                .take_while(|c| **c != self.me);
-            if better
-                .into_iter()
-                .all(|c| !self.is_in(c) || self.silent(now, c))
-            {
+            let better = self.operational.candidates(seat).iter().take_while(|c| **c != self.me);
+            if better.into_iter().all(|c| !self.is_in(c) || self.silent(now, c)) {
                 let witnesses = placement::witnesses(&config, seat);
                 let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
                 self.seats.insert(seat.clone(), lease);
@@ -374,9 +351,7 @@
         let leaving = if *host == self.me {
             self.leaving
         } else {
-            self.gossip
-                .rumors()
-                .any(|(rumor, _)| rumor.host == *host && rumor.leaving)
+            self.gossip.rumors().any(|(rumor, _)| rumor.host == *host && rumor.leaving)
         };
         allowed && !leaving
     }
@@ -394,10 +369,7 @@
         let mut holds = SmallVec::new();
         for (seat, lease) in &mut self.seats {
             if lease.refresh(now) {
-                holds.push(HeldSeat {
-                    seat: seat.clone(),
-                    epoch: lease.epoch(),
-                });
+                holds.push(HeldSeat { seat: seat.clone(), epoch: lease.epoch() });
             }
         }
         self.gossip.set_own(now, self.leaving, load, holds)
@@ -405,11 +377,7 @@
 
     fn push(&mut self, sends: u32, rng: &mut impl Rng, actions: &mut Vec<Action>) {
         let hosts = &self.operational.config.fleet.hosts;
-        let peers: Vec<&HostId> = hosts
-            .iter()
-            .map(|h| &h.id)
-            .filter(|h| **h != self.me)
-            .collect();
+        let peers: Vec<&HostId> = hosts.iter().map(|h| &h.id).filter(|h| **h != self.me).collect();
         for _ in 0..sends {
             if let Some(peer) = peers.choose(rng) {
                 actions.push(Action::Push((*peer).clone(), self.gossip.message()));
--- a/src/process/membership/tests.rs
+++ b/src/process/membership/tests.rs
@@ -33,14 +33,8 @@
             most_holders: 0,
             operational,
         };
-        let ids: Vec<HostId> = fleet
-            .operational
-            .config
-            .fleet
-            .hosts
-            .iter()
-            .map(|h| h.id.clone())
-            .collect();
+        let ids: Vec<HostId> =
+            fleet.operational.config.fleet.hosts.iter().map(|h| h.id.clone()).collect();
         for id in ids {
             fleet.start(&id, 1);
         }
@@ -48,13 +42,8 @@
     }
 
     fn start(&mut self, id: &HostId, incarnation: Incarnation) {
-        let host = Membership::new(
-            self.now,
-            id.clone(),
-            incarnation,
-            self.operational.clone(),
-            Periodic,
-        );
+        let host =
+            Membership::new(self.now, id.clone(), incarnation, self.operational.clone(), Periodic);
         self.hosts.insert(id.clone(), host);
     }
 
@@ -101,35 +90,19 @@
     }
 
     fn check(&mut self) {
-        let seats: Vec<HostId> = self
-            .operational
-            .config
-            .fleet
-            .hosts
-            .iter()
-            .map(|h| h.id.clone())
-            .collect();
+        let seats: Vec<HostId> =
+            self.operational.config.fleet.hosts.iter().map(|h| h.id.clone()).collect();
         for seat in seats {
             let holders = self.holders(&seat);
             self.most_holders = self.most_holders.max(holders.len());
-            assert!(
-                holders.len() <= 1,
-                "{seat} is held by {holders:?} at {:?}",
-                self.now
-            );
+            assert!(holders.len() <= 1, "{seat} is held by {holders:?} at {:?}", self.now);
         }
     }
 
     fn holders(&mut self, seat: &HostId) -> Vec<HostId> {
         let now = self.now;
-        let views = self
-            .hosts
-            .iter_mut()
-            .map(|(id, host)| (id.clone(), host.view(now)));
-        views
-            .filter(|(id, v)| v.role(now, id, seat) == Role::Holder)
-            .map(|(id, _)| id)
-            .collect()
+        let views = self.hosts.iter_mut().map(|(id, host)| (id.clone(), host.view(now)));
+        views.filter(|(id, v)| v.role(now, id, seat) == Role::Holder).map(|(id, _)| id).collect()
     }
 }
 
@@ -155,15 +128,11 @@
     fleet.hosts.remove("entry-1");
     fleet.run(Duration::from_secs(4));
     let standby = fleet.operational.candidates("entry-1")[1].clone();
-    assert_eq!(fleet.holders(&id("entry-1")), [standby.clone()]);
+    assert_eq!(fleet.holders(&id("entry-1")), std::slice::from_ref(&standby));
     fleet.in_flight.insert(standby, 1);
     fleet.start(&id("entry-1"), 2);
     fleet.run(Duration::from_millis(1_000));
-    assert_eq!(
-        fleet.holders(&id("entry-1")),
-        Vec::<HostId>::new(),
-        "still in flight"
-    );
+    assert_eq!(fleet.holders(&id("entry-1")), Vec::<HostId>::new(), "still in flight");
     fleet.in_flight.clear();
     fleet.run(Duration::from_secs(2));
     assert_eq!(fleet.holders(&id("entry-1")), [id("entry-1")]);
--- a/src/process/membership_actor.rs
+++ b/src/process/membership_actor.rs
@@ -27,10 +27,7 @@
 /// How long a call to a witness may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The token account of the gossip; see `docs/GOSSIP.md`.
-pub(crate) const GOSSIP: RandomizedTokens = RandomizedTokens {
-    spend_divisor: 2,
-    capacity: 6,
-};
+pub(crate) const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 2, capacity: 6 };
 
 /// The actor.
 #[derive(Actor)]
@@ -57,13 +54,7 @@
             GOSSIP,
         );
         let rng = SmallRng::seed_from_u64(context.incarnation);
-        Self {
-            context,
-            owner,
-            membership,
-            newer_at,
-            rng,
-        }
+        Self { context, owner, membership, newer_at, rng }
     }
 
     /// Publishes the snapshot for the request path; logs seats that changed hands.
@@ -100,18 +91,11 @@
                 match action {
                     Action::Claim(to, claim) => claim_at(&context, &actor, to, claim).await,
                     Action::Release(to, release) => {
-                        send(&context, &to, |c, ctx| async move {
-                            c.release(ctx, release).await
-                        })
-                        .await;
+                        send(&context, &to, |c, ctx| async move { c.release(ctx, release).await })
+                            .await;
                     }
                     Action::Push(to, push) => {
-                        send(
-                            &context,
-                            &to,
-                            |c, ctx| async move { c.push(ctx, push).await },
-                        )
-                        .await;
+                        send(&context, &to, |c, ctx| async move { c.push(ctx, push).await }).await;
                     }
                 }
             });
@@ -142,14 +126,7 @@
     let call = |client: PeerClient, ctx| async move { client.claim(ctx, claim).await };
     if let Ok(answer) = context.peers.call(&address, CALL_TIMEOUT, call).await {
         context.peers.observe_clock(&to, answer.clock_us);
-        let _ = actor
-            .tell(Answered {
-                from: to,
-                seat,
-                sent_at,
-                answer,
-            })
-            .await;
+        let _ = actor.tell(Answered { from: to, seat, sent_at, answer }).await;
     }
 }
 
@@ -187,12 +164,7 @@
 
     async fn handle(&mut self, _: Tick, ctx: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
-        let gap = self
-            .context
-            .pause
-            .lock()
-            .expect("no holder of the lock panics")
-            .tick(now);
+        let gap = self.context.pause.lock().expect("no holder of the lock panics").tick(now);
         if let Some(gap) = gap {
             tracing::warn!(
                 host = %self.context.me, gap_ms = gap.as_millis(),
@@ -202,9 +174,7 @@
         }
         let owner = self.owner.clone();
         let load = self.context.running.load(Ordering::Relaxed);
-        let actions = self
-            .membership
-            .tick(now, load, |seat| owner.in_flight(seat), &mut self.rng);
+        let actions = self.membership.tick(now, load, |seat| owner.in_flight(seat), &mut self.rng);
         self.publish();
         self.perform(actions, ctx.actor_ref());
     }
@@ -215,14 +185,8 @@
 
     async fn handle(&mut self, msg: Answered, _: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
-        let Answered {
-            from,
-            seat,
-            sent_at,
-            answer,
-        } = msg;
-        self.membership
-            .on_claim_reply(now, &from, &seat, sent_at, &answer.reply);
+        let Answered { from, seat, sent_at, answer } = msg;
+        self.membership.on_claim_reply(now, &from, &seat, sent_at, &answer.reply);
         self.compare_config(&from, answer.config_version, sent_at);
         self.publish();
     }
@@ -244,8 +208,7 @@
     type Reply = ();
 
     async fn handle(&mut self, release: Release, _: &mut MessageContext<Self, ()>) {
-        self.membership
-            .on_release(self.context.clock.now(), &release);
+        self.membership.on_release(self.context.clock.now(), &release);
     }
 }
 
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -5,9 +5,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-const LATENCY_BOUNDS_MS: [f64; 12] = [
-    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 92.0, 150.0, 300.0, 600.0, 1_500.0, 5_000.0,
-];
+const LATENCY_BOUNDS_MS: [f64; 12] =
+    [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 92.0, 150.0, 300.0, 600.0, 1_500.0, 5_000.0];
 
 /// The instruments of one host.
 #[derive(Debug)]
@@ -73,17 +72,14 @@
     }
 
     pub(crate) fn request(&self, service: &str, outcome: &'static str, took_ms: f64) {
-        let labels = [
-            KeyValue::new("service", service.to_owned()),
-            KeyValue::new("outcome", outcome),
-        ];
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
         self.requests.add(1, &labels);
         self.latency.record(took_ms, &labels[..1]);
     }
 
     pub(crate) fn missing(&self, service: &str, count: u64) {
-        self.shards_missing
-            .add(count, &[KeyValue::new("service", service.to_owned())]);
+        self.shards_missing.add(count, &[KeyValue::new("service", service.to_owned())]);
     }
 
     pub(crate) fn attempts(&self, kind: &'static str, count: u64) {
@@ -108,8 +104,6 @@
 
     /// Returns all metrics as text for a scrape.
     pub(crate) fn text(&self) -> String {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -48,6 +48,8 @@
     pub(crate) warm: bool,
 }
 
+type OutcomeReceiver = oneshot::Receiver<Outcome<Vec<Row>>>;
+
 #[derive(Debug)]
 struct Job {
     request: RunRequest,
@@ -95,10 +97,7 @@
 
 impl Owner {
     pub(crate) fn new(context: Arc<Context>) -> Arc<Self> {
-        Arc::new(Self {
-            context,
-            servers: Mutex::new(HashMap::new()),
-        })
+        Arc::new(Self { context, servers: Mutex::new(HashMap::new()) })
     }
 
     /// Returns how many requests are in flight at the servers of a seat.
@@ -107,11 +106,7 @@
         let servers = self.servers.lock().expect("no holder of the lock panics");
         servers
             .values()
-            .filter(|s| {
-                operational
-                    .server(&s.id)
-                    .is_some_and(|entry| entry.seat == *seat)
-            })
+            .filter(|s| operational.server(&s.id).is_some_and(|entry| entry.seat == *seat))
             .map(|s| s.lock().queue.in_flight())
             .sum()
     }
@@ -121,10 +116,7 @@
         let operational = self.context.operational.load();
         let servers = self.servers.lock().expect("no holder of the lock panics");
         for server in servers.values() {
-            if operational
-                .server(&server.id)
-                .is_some_and(|entry| entry.seat == *seat)
-            {
+            if operational.server(&server.id).is_some_and(|entry| entry.seat == *seat) {
                 let mut state = server.lock();
                 state.temperature.forget();
                 state.idle.clear();
@@ -149,8 +141,7 @@
         let outcome = match self.enqueue(&server, job, cancel.clone()) {
             Ok((ticket, done)) => {
                 self.pump(&server);
-                self.await_outcome(&server, ticket, done, deadline, cancel)
-                    .await
+                self.await_outcome(&server, ticket, done, deadline, cancel).await
             }
             Err(reason) => Outcome::NotRun(reason),
         };
@@ -179,10 +170,7 @@
             on_wire: Vec::new(),
             draining_until: Monotonic::ZERO,
         };
-        let server = Arc::new(OwnedServer {
-            id: id.clone(),
-            state: Mutex::new(state),
-        });
+        let server = Arc::new(OwnedServer { id: id.clone(), state: Mutex::new(state) });
         servers.insert(id.clone(), server.clone());
         Some(server)
     }
@@ -192,24 +180,15 @@
         server: &OwnedServer,
         job: ShardJob,
         cancel: CancellationToken,
-    ) -> Result<(Ticket, oneshot::Receiver<Outcome<Vec<Row>>>), NotRunReason> {
+    ) -> Result<(Ticket, OutcomeReceiver), NotRunReason> {
         let now = self.context.clock.now();
         let mut state = server.lock();
         let permit = self.permit(server, &state)?;
         let (done, outcome) = oneshot::channel();
-        let ShardJob {
-            request, deadline, ..
-        } = job;
+        let ShardJob { request, deadline, .. } = job;
         let priority = permit.entry.priority;
-        let job = Job {
-            request,
-            deadline,
-            cancel,
-            done,
-        };
-        let ticket = state
-            .queue
-            .push(now, priority, deadline, permit.allowance, job)?;
+        let job = Job { request, deadline, cancel, done };
+        let ticket = state.queue.push(now, priority, deadline, permit.allowance, job)?;
         Ok((ticket, outcome))
     }
 
@@ -217,7 +196,7 @@
         &self,
         server: &OwnedServer,
         ticket: Ticket,
-        mut done: oneshot::Receiver<Outcome<Vec<Row>>>,
+        mut done: OutcomeReceiver,
         deadline: Monotonic,
         cancel: CancellationToken,
     ) -> Outcome<Vec<Row>> {
@@ -246,11 +225,8 @@
         }
         let role = self.context.role(&entry.seat);
         let held_until = self.context.held_until(&entry.seat);
-        let warmth = if self.context.policy.cold_ramp {
-            state.temperature.warmth()
-        } else {
-            Warmth::Warm
-        };
+        let warmth =
+            if self.context.policy.cold_ramp { state.temperature.warmth() } else { Warmth::Warm };
         let valid_until = match role {
             Role::Holder => held_until.unwrap_or(now),
             Role::OwnerWithoutLease => Monotonic::MAX,
@@ -323,12 +299,7 @@
         }
         let operational = self.context.operational.load_full();
         let entry = operational.gate(&server.id).ok()?;
-        if !self
-            .context
-            .links
-            .cross(&self.context.domain, &entry.domain)
-            .await
-        {
+        if !self.context.links.cross(&self.context.domain, &entry.domain).await {
             return None;
         }
         let connection = BackendConnection::open(entry.addr, self.context.clock).await?;
@@ -357,11 +328,7 @@
             return;
         };
         let now = self.context.clock.now();
-        let end = if permit.warm {
-            job.deadline
-        } else {
-            job.deadline.min(permit.valid_until)
-        };
+        let end = if permit.warm { job.deadline } else { job.deadline.min(permit.valid_until) };
         job.request.deadline_ms = millis(end.saturating_sub(now));
         let valid_until = permit.valid_until.min(job.deadline);
         tracing::debug!(
@@ -383,9 +350,7 @@
         };
         self.settle(server, &permit.entry, &job, &outcome, took);
         if reusable {
-            server
-                .lock()
-                .give_back(connection, permit.entry.limits.slots);
+            server.lock().give_back(connection, permit.entry.limits.slots);
         }
         let _ = job.done.send(outcome);
     }
@@ -479,9 +444,7 @@
         took: Duration,
     ) {
         let mut state = server.lock();
-        state
-            .on_wire
-            .retain(|on_wire| on_wire.attempt != job.request.attempt);
+        state.on_wire.retain(|on_wire| on_wire.attempt != job.request.attempt);
         let ran = matches!(outcome, Outcome::Answered(_));
         let late = *outcome == Outcome::Unknown(UnknownReason::TimedOut);
         state.queue.finish(ran.then_some(took));
@@ -503,9 +466,7 @@
 
     /// Cancels idempotent work beyond what a server that turned cold may have, newest first.
     fn shed_surplus(&self, server: &OwnedServer, state: &State) {
-        let allowed = self
-            .permit(server, state)
-            .map_or(0, |permit| permit.allowance as usize);
+        let allowed = self.permit(server, state).map_or(0, |permit| permit.allowance as usize);
         for on_wire in state.on_wire.iter().skip(allowed).filter(|w| w.idempotent) {
             tracing::info!(server = %server.id, attempt = on_wire.attempt, "surplus cancelled");
             on_wire.cancel.cancel();
@@ -522,8 +483,7 @@
 impl State {
     fn take_idle(&mut self) -> Option<BackendConnection> {
         let life = self.temperature.instance().cloned();
-        self.idle
-            .retain(|c| !c.is_closed() && Some(c.instance()) == life.as_ref());
+        self.idle.retain(|c| !c.is_closed() && Some(c.instance()) == life.as_ref());
         self.idle.pop()
     }
 
--- a/src/process/pause.rs
+++ b/src/process/pause.rs
@@ -22,10 +22,7 @@
 impl PauseGuard {
     /// Starts with a tick.
     pub const fn new(now: Monotonic) -> Self {
-        Self {
-            last_tick: now,
-            waking_since: None,
-        }
+        Self { last_tick: now, waking_since: None }
     }
 
     /// Takes in a tick; returns the gap where it was a pause.
@@ -36,10 +33,7 @@
             self.waking_since = Some(now);
             return Some(gap);
         }
-        if self
-            .waking_since
-            .is_some_and(|since| now >= since + ISOLATED_AFTER)
-        {
+        if self.waking_since.is_some_and(|since| now >= since + ISOLATED_AFTER) {
             self.waking_since = None;
         }
         None
--- a/src/process/pause/tests.rs
+++ b/src/process/pause/tests.rs
@@ -13,10 +13,7 @@
     assert_eq!(guard.tick(ms(950)), None);
     assert!(guard.must_wait(ms(950)));
     guard.on_confirmed(ms(899));
-    assert!(
-        guard.must_wait(ms(950)),
-        "the reply may be as old as the pause"
-    );
+    assert!(guard.must_wait(ms(950)), "the reply may be as old as the pause");
     guard.on_confirmed(ms(900));
     assert!(!guard.must_wait(ms(950)));
 }
--- a/src/process/peer_server.rs
+++ b/src/process/peer_server.rs
@@ -73,14 +73,10 @@
 
 async fn serve_connection(stream: TcpStream, parts: PeerParts) {
     let _ = stream.set_nodelay(true);
-    let framed = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_framed(stream);
+    let framed =
+        LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
     let transport: Transport<_, _, _, Postcard> = tarpc::serde_transport::new(framed, Postcard);
-    let connection = PeerConnection {
-        parts,
-        greeted: Arc::default(),
-    };
+    let connection = PeerConnection { parts, greeted: Arc::default() };
     BaseChannel::with_defaults(transport)
         .execute(connection.serve())
         .for_each(|request| async {
@@ -110,10 +106,7 @@
             return Err(HelloRefusal::Deployment);
         }
         self.greeted.store(true, Ordering::Release);
-        Ok(HelloReply {
-            host: context.me.clone(),
-            clock_us: micros(context.clock.now()),
-        })
+        Ok(HelloReply { host: context.me.clone(), clock_us: micros(context.clock.now()) })
     }
 
     async fn run(self, _: CallContext, batch: Batch) -> Part {
@@ -126,12 +119,9 @@
             outcome: Outcome::NotRun(NotRunReason::NotReady),
             expected_us: 0,
             warm: false,
+            took_us: 0,
         });
-        Part {
-            ended: refused.collect(),
-            rows: Vec::new(),
-            pending: 0,
-        }
+        Part { ended: refused.collect(), rows: Vec::new(), pending: 0, held_us: 0 }
     }
 
     async fn collect(self, _: CallContext, id: BatchId) -> Part {
@@ -147,10 +137,7 @@
         if !self.is_greeted() {
             return Outcome::NotRun(NotRunReason::NotReady);
         }
-        self.parts
-            .keeper
-            .submit(order.query, Duration::from_micros(order.deadline_us))
-            .await
+        self.parts.keeper.submit(order.query, Duration::from_micros(order.deadline_us)).await
     }
 
     async fn claim(self, _: CallContext, claim: Claim) -> ClaimAnswer {
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -36,12 +36,7 @@
 impl<T: Clone> Record<T> {
     /// Keeps each outcome for `keep`, and at most `capacity` of them.
     pub fn new(keep: Duration, capacity: usize) -> Self {
-        Self {
-            keep,
-            capacity,
-            entries: HashMap::new(),
-            by_age: VecDeque::new(),
-        }
+        Self { keep, capacity, entries: HashMap::new(), by_age: VecDeque::new() }
     }
 
     /// Decides on a request.
--- a/src/process/record/tests.rs
+++ b/src/process/record/tests.rs
@@ -45,12 +45,7 @@
             if let Some(outcome) = &case.ended {
                 record.end(&id, outcome);
             }
-            assert_eq!(
-                record.begin(ms(9), &id, resend, ms(0)),
-                case.reply,
-                "{}",
-                case.name
-            );
+            assert_eq!(record.begin(ms(9), &id, resend, ms(0)), case.reply, "{}", case.name);
         }
     }
 }
@@ -60,14 +55,8 @@
     let mut record: Record<u32> = Record::new(KEEP, 10);
     let lost = Begin::Reply(Outcome::Unknown(UnknownReason::RecordLost));
     assert_eq!(record.begin(ms(5_000), &"r".into(), true, ms(4_000)), lost);
-    assert_eq!(
-        record.begin(ms(5_000), &"first".into(), false, ms(4_000)),
-        Begin::Run
-    );
-    assert_eq!(
-        record.begin(ms(4_000) + KEEP, &"r".into(), true, ms(4_000)),
-        Begin::Run
-    );
+    assert_eq!(record.begin(ms(5_000), &"first".into(), false, ms(4_000)), Begin::Run);
+    assert_eq!(record.begin(ms(4_000) + KEEP, &"r".into(), true, ms(4_000)), Begin::Run);
 }
 
 #[test]
--- a/src/process/server_queue/tests.rs
+++ b/src/process/server_queue/tests.rs
@@ -35,41 +35,11 @@
     }
     let late = Err(NotRunReason::DeadlineTooClose);
     let cases = [
-        Case {
-            name: "idle",
-            in_flight: 0,
-            allowance: 2,
-            deadline_ms: 10,
-            result: Ok(()),
-        },
-        Case {
-            name: "idle, too close",
-            in_flight: 0,
-            allowance: 2,
-            deadline_ms: 9,
-            result: late,
-        },
-        Case {
-            name: "one round",
-            in_flight: 2,
-            allowance: 2,
-            deadline_ms: 20,
-            result: Ok(()),
-        },
-        Case {
-            name: "one round, late",
-            in_flight: 2,
-            allowance: 2,
-            deadline_ms: 19,
-            result: late,
-        },
-        Case {
-            name: "past",
-            in_flight: 0,
-            allowance: 2,
-            deadline_ms: 0,
-            result: late,
-        },
+        Case { name: "idle", in_flight: 0, allowance: 2, deadline_ms: 10, result: Ok(()) },
+        Case { name: "idle, too close", in_flight: 0, allowance: 2, deadline_ms: 9, result: late },
+        Case { name: "one round", in_flight: 2, allowance: 2, deadline_ms: 20, result: Ok(()) },
+        Case { name: "one round, late", in_flight: 2, allowance: 2, deadline_ms: 19, result: late },
+        Case { name: "past", in_flight: 0, allowance: 2, deadline_ms: 0, result: late },
         Case {
             name: "nothing allowed",
             in_flight: 0,
@@ -81,9 +51,7 @@
     for case in cases {
         let mut queue = queue(Admission::Early);
         for _ in 0..case.in_flight {
-            queue
-                .push(MS(0), Priority::High, MS(999), 99, "running")
-                .unwrap();
+            queue.push(MS(0), Priority::High, MS(999), 99, "running").unwrap();
             queue.pop(99).unwrap();
         }
         let deadline = MS(case.deadline_ms);
--- a/src/process/temperature.rs
+++ b/src/process/temperature.rs
@@ -42,12 +42,7 @@
 
 impl Default for Temperature {
     fn default() -> Self {
-        Self {
-            warmth: Warmth::Cold,
-            instance: None,
-            paces: SmallVec::new(),
-            fast_since_step: 0,
-        }
+        Self { warmth: Warmth::Cold, instance: None, paces: SmallVec::new(), fast_since_step: 0 }
     }
 }
 
@@ -92,13 +87,7 @@
             Warmth::Ramping(trusted) => self.judge_ramp(pace, trusted, limits),
             Warmth::Warm => {}
         }
-        let slow = self
-            .paces
-            .iter()
-            .rev()
-            .take(SLOW_WINDOW)
-            .filter(|p| **p == Pace::Slow)
-            .count();
+        let slow = self.paces.iter().rev().take(SLOW_WINDOW).filter(|p| **p == Pace::Slow).count();
         let turned = slow >= SLOW_TO_COLD && self.warmth != Warmth::Cold;
         if turned {
             self.turn_cold();
@@ -142,11 +131,7 @@
     fn step_up(&mut self, trusted: u32, limits: &ServerLimits) {
         self.fast_since_step = 0;
         let next = trusted + 1;
-        self.warmth = if next >= limits.slots {
-            Warmth::Warm
-        } else {
-            Warmth::Ramping(next)
-        };
+        self.warmth = if next >= limits.slots { Warmth::Warm } else { Warmth::Ramping(next) };
     }
 }
 
--- a/src/process/temperature/tests.rs
+++ b/src/process/temperature/tests.rs
@@ -2,13 +2,8 @@
 
 use super::*;
 
-const LIMITS: ServerLimits = ServerLimits {
-    slots: 4,
-    connections: 100,
-    cold_start_limit: 2,
-    typical_ms: 10,
-    connect_ms: 1,
-};
+const LIMITS: ServerLimits =
+    ServerLimits { slots: 4, connections: 100, cold_start_limit: 2, typical_ms: 10, connect_ms: 1 };
 
 enum Event {
     Instance(&'static str),
@@ -26,11 +21,7 @@
         warmth: Warmth,
     }
     let cases = [
-        Case {
-            name: "first contact",
-            events: &[Instance("a")],
-            warmth: Warmth::Cold,
-        },
+        Case { name: "first contact", events: &[Instance("a")], warmth: Warmth::Cold },
         Case {
             name: "slow replies stay cold",
             events: &[Instance("a"), Replies(100, 40)],
--- a/src/request/choose.rs
+++ b/src/request/choose.rs
@@ -32,30 +32,19 @@
 /// Usable and untried ones come first; where there is none, the wait for one is left to the
 /// caller and any that is usable is taken.
 pub fn choose(candidates: &[Candidate], choice: Choice, rng: &mut impl Rng) -> Option<usize> {
-    let usable: Vec<usize> = (0..candidates.len())
-        .filter(|n| candidates[*n].usable)
-        .collect();
-    let fresh: Vec<usize> = usable
-        .iter()
-        .copied()
-        .filter(|n| !candidates[*n].tried)
-        .collect();
+    let usable: Vec<usize> = (0..candidates.len()).filter(|n| candidates[*n].usable).collect();
+    let fresh: Vec<usize> = usable.iter().copied().filter(|n| !candidates[*n].tried).collect();
     let pool = if fresh.is_empty() { &usable } else { &fresh };
     match choice {
         Choice::Random => pool.choose(rng).copied(),
-        Choice::TwoChoices => pool
-            .sample(rng, 2)
-            .copied()
-            .min_by_key(|n| candidates[*n].expected),
+        Choice::TwoChoices => pool.sample(rng, 2).copied().min_by_key(|n| candidates[*n].expected),
     }
 }
 
 /// Returns the index of the replica for a hedge: warm, usable and untried, or none.
 pub fn choose_hedge(candidates: &[Candidate]) -> Option<usize> {
     let fit = |n: &usize| candidates[*n].usable && candidates[*n].warm && !candidates[*n].tried;
-    (0..candidates.len())
-        .filter(fit)
-        .min_by_key(|n| candidates[*n].expected)
+    (0..candidates.len()).filter(fit).min_by_key(|n| candidates[*n].expected)
 }
 
 #[cfg(test)]
--- a/src/request/choose/tests.rs
+++ b/src/request/choose/tests.rs
@@ -6,12 +6,7 @@
 use super::*;
 
 const fn candidate(expected_ms: u64, warm: bool, usable: bool, tried: bool) -> Candidate {
-    Candidate {
-        expected: Duration::from_millis(expected_ms),
-        warm,
-        usable,
-        tried,
-    }
+    Candidate { expected: Duration::from_millis(expected_ms), warm, usable, tried }
 }
 
 #[test]
@@ -25,46 +20,29 @@
     const CASES: [Case; 5] = [
         Case {
             name: "faster",
-            candidates: &[
-                candidate(9, true, true, false),
-                candidate(3, true, true, false),
-            ],
+            candidates: &[candidate(9, true, true, false), candidate(3, true, true, false)],
             first: Some(1),
             hedge: Some(1),
         },
         Case {
             name: "closed",
-            candidates: &[
-                candidate(9, true, true, false),
-                candidate(3, true, false, false),
-            ],
+            candidates: &[candidate(9, true, true, false), candidate(3, true, false, false)],
             first: Some(0),
             hedge: Some(0),
         },
         Case {
             name: "tried before",
-            candidates: &[
-                candidate(9, false, true, false),
-                candidate(3, true, true, true),
-            ],
+            candidates: &[candidate(9, false, true, false), candidate(3, true, true, true)],
             first: Some(0),
             hedge: None,
         },
         Case {
             name: "all tried",
-            candidates: &[
-                candidate(9, true, true, true),
-                candidate(3, true, false, true),
-            ],
+            candidates: &[candidate(9, true, true, true), candidate(3, true, false, true)],
             first: Some(0),
             hedge: None,
         },
-        Case {
-            name: "none",
-            candidates: &[],
-            first: None,
-            hedge: None,
-        },
+        Case { name: "none", candidates: &[], first: None, hedge: None },
     ];
     let mut rng = SmallRng::seed_from_u64(1);
     for case in CASES {
--- a/src/request/coordinator.rs
+++ b/src/request/coordinator.rs
@@ -14,7 +14,7 @@
 use super::keeper::Keeper;
 use super::query::{Answer, Query};
 use crate::clock::{Monotonic, micros, millis};
-use crate::connection::peer::{Batch, BatchItem, Order, Part, ShardReport};
+use crate::connection::peer::{Batch, BatchId, BatchItem, Order, Part, PeerClient, ShardReport};
 use crate::connection::peer_pool::CallError;
 use crate::ids::{HostId, ServerId, ServiceId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
@@ -37,8 +37,9 @@
 const RETRY_BURST: u64 = 100;
 /// The quantile of shard latency after which a shard counts as late.
 const LATE_QUANTILE: f64 = 0.97;
-/// The hedge delay is at least this many times the usual time.
+/// The hedge delay is between these many times the usual time.
 const MIN_HEDGE_FACTOR: u32 = 2;
+const MAX_HEDGE_FACTOR: u32 = 5;
 /// The hedge delay while there are too few samples.
 const START_HEDGE_FACTOR: u32 = 4;
 /// An early answer waits this many hedge delays.
@@ -70,14 +71,15 @@
 }
 
 enum Event {
-    Part {
-        sent_at: Monotonic,
-        part: Part,
-    },
-    Failed {
-        items: Vec<BatchItem>,
-        outcome: Outcome<()>,
-    },
+    Part { sent_at: Monotonic, part: Part },
+    Failed { items: Vec<BatchItem>, outcome: Outcome<()> },
+}
+
+/// Where an attempt at a shard went.
+struct SentAttempt {
+    owner: HostId,
+    batch: BatchId,
+    server: ServerId,
 }
 
 /// One run of a query on one pinned version.
@@ -92,7 +94,7 @@
     gather: Gather,
     retries: Vec<(Monotonic, ShardId)>,
     calls: JoinSet<()>,
-    sent: HashMap<ShardId, SmallVec<[(HostId, u64, ServerId); 2]>>,
+    sent: HashMap<ShardId, SmallVec<[SentAttempt; 2]>>,
     events: mpsc::UnboundedSender<Event>,
 }
 
@@ -104,14 +106,7 @@
         hints: Arc<Mutex<Hints>>,
     ) -> Arc<Self> {
         let (latencies, budgets) = (Mutex::default(), Mutex::default());
-        Arc::new(Self {
-            context,
-            batches,
-            keeper,
-            hints,
-            latencies,
-            budgets,
-        })
+        Arc::new(Self { context, batches, keeper, hints, latencies, budgets })
     }
 
     /// Runs a request to its outcome, at the latest shortly before its deadline.
@@ -153,11 +148,9 @@
         deadline: Monotonic,
     ) -> (Outcome<Answer>, bool) {
         let shards: BTreeMap<ShardId, &Shard> = match service.kind {
-            Kind::Fetch | Kind::Submit => service
-                .shard_of(&query.key)
-                .into_iter()
-                .map(|s| (s.id, s))
-                .collect(),
+            Kind::Fetch | Kind::Submit => {
+                service.shard_of(&query.key).into_iter().map(|s| (s.id, s)).collect()
+            }
             Kind::Listing | Kind::Lookup => service.shards.iter().map(|s| (s.id, s)).collect(),
         };
         let limit = (service.kind == Kind::Listing).then_some(query.limit as usize);
@@ -182,12 +175,9 @@
     fn hedge_delay(&self, service: &Service) -> Duration {
         let typical = Duration::from_millis(service.limits.typical_ms);
         let latencies = self.latencies.lock().expect("no holder of the lock panics");
-        let tracked = latencies
-            .get(&service.id)
-            .and_then(|t| t.quantile(LATE_QUANTILE));
-        tracked.map_or(typical * START_HEDGE_FACTOR, |late| {
-            late.max(typical * MIN_HEDGE_FACTOR)
-        })
+        let tracked = latencies.get(&service.id).and_then(|t| t.quantile(LATE_QUANTILE));
+        let (least, most) = (typical * MIN_HEDGE_FACTOR, typical * MAX_HEDGE_FACTOR);
+        tracked.map_or(typical * START_HEDGE_FACTOR, |late| late.clamp(least, most))
     }
 
     fn record_latency(&self, service: &ServiceId, took: Duration) {
@@ -249,9 +239,7 @@
         };
         let timeout = deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
         let order = Order { query, deadline_us };
-        let call = |client: crate::connection::peer::PeerClient, ctx| async move {
-            client.submit(ctx, order).await
-        };
+        let call = |client: PeerClient, ctx| async move { client.submit(ctx, order).await };
         match self.context.peers.call(&to, timeout, call).await {
             Ok(outcome) => outcome,
             Err(CallError::NotSent) => unreachable,
@@ -322,14 +310,7 @@
         let now = self.now();
         let (part, reported) = match event {
             Event::Part { sent_at, part } => {
-                let took = now.saturating_sub(sent_at);
-                for _ in part
-                    .ended
-                    .iter()
-                    .filter(|r| matches!(r.outcome, Outcome::Answered(())))
-                {
-                    self.coordinator.record_latency(&self.service.id, took);
-                }
+                self.record_latencies(now.saturating_sub(sent_at), &part);
                 (part, true)
             }
             Event::Failed { items, outcome } => {
@@ -339,15 +320,9 @@
                     outcome: outcome.clone(),
                     expected_us: 0,
                     warm: false,
+                    took_us: 0,
                 });
-                (
-                    Part {
-                        ended: ended.collect(),
-                        rows: Vec::new(),
-                        pending: 0,
-                    },
-                    false,
-                )
+                (Part { ended: ended.collect(), rows: Vec::new(), pending: 0, held_us: 0 }, false)
             }
         };
         self.take_hints(now, &part, reported);
@@ -363,12 +338,18 @@
         }
     }
 
+    /// Records what each answered shard took, less the time that its reply was held back for
+    /// others of its batch.
+    fn record_latencies(&self, took: Duration, part: &Part) {
+        let answered = part.ended.iter().filter(|r| matches!(r.outcome, Outcome::Answered(())));
+        for report in answered {
+            let held = Duration::from_micros(part.held_us.saturating_sub(report.took_us));
+            self.coordinator.record_latency(&self.service.id, took.saturating_sub(held));
+        }
+    }
+
     fn take_hints(&self, now: Monotonic, part: &Part, reported: bool) {
-        let mut hints = self
-            .coordinator
-            .hints
-            .lock()
-            .expect("no holder of the lock panics");
+        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
         let mut overloaded = false;
         for report in &part.ended {
             let expected = Duration::from_micros(report.expected_us);
@@ -398,35 +379,27 @@
             failure,
             Outcome::Unknown(_) | Outcome::NotRun(NotRunReason::Shed | NotRunReason::VersionGone)
         );
-        let hopeless = matches!(
-            failure,
-            Outcome::NotRun(NotRunReason::VersionGone | NotRunReason::Cancelled)
-        );
+        let hopeless =
+            matches!(failure, Outcome::NotRun(NotRunReason::VersionGone | NotRunReason::Cancelled));
         if hopeless || tried >= MAX_ATTEMPTS {
             return;
         }
         if touched && self.coordinator.context.policy.retry_budget {
-            let spent = self
-                .coordinator
-                .with_budgets(&self.service.id, |b| b.retry.try_spend(now));
+            let spent = self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now));
             if !spent {
                 return;
             }
         }
         let replicas = self.shards.get(&shard).map_or(0, |s| s.servers.len());
         let rounds = u32::try_from(tried / replicas.max(1)).unwrap_or(u32::MAX);
-        let backoff = if rounds == 0 {
-            Duration::ZERO
-        } else {
-            FIRST_BACKOFF * (1 << rounds.min(6))
-        };
+        let backoff =
+            if rounds == 0 { Duration::ZERO } else { FIRST_BACKOFF * (1 << rounds.min(6)) };
         self.retries.push((now + backoff, shard));
     }
 
     fn retry_due(&mut self, now: Monotonic) {
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.retries)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.retries).into_iter().partition(|(at, _)| *at <= now);
         self.retries = later;
         let shards: Vec<ShardId> = due.into_iter().map(|(_, shard)| shard).collect();
         if !shards.is_empty() {
@@ -445,10 +418,7 @@
             let Some(n) = choose_hedge(&candidates) else {
                 continue;
             };
-            if !self
-                .coordinator
-                .with_budgets(&self.service.id, |b| b.hedge.try_spend(now))
-            {
+            if !self.coordinator.with_budgets(&self.service.id, |b| b.hedge.try_spend(now)) {
                 return;
             }
             let server = self.shards[&shard].servers[n].clone();
@@ -460,11 +430,7 @@
         let now = self.now();
         let typical = Duration::from_millis(self.service.limits.typical_ms);
         let newest = self.coordinator.context.operational.load();
-        let hints = self
-            .coordinator
-            .hints
-            .lock()
-            .expect("no holder of the lock panics");
+        let hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
         let tried = self.gather.tried(shard);
         let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
         let candidate = |server: &Server| {
@@ -477,11 +443,7 @@
     /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
     fn send(&mut self, shards: &[ShardId], kind: &'static str) {
         let two_choices = self.coordinator.context.policy.two_choices;
-        let choice = if two_choices {
-            Choice::TwoChoices
-        } else {
-            Choice::Random
-        };
+        let choice = if two_choices { Choice::TwoChoices } else { Choice::Random };
         let mut chosen = Vec::with_capacity(shards.len());
         for shard in shards {
             let mut candidates = self.candidates(*shard);
@@ -503,9 +465,7 @@
         let newest = context.operational.load();
         let mut by_owner: BTreeMap<HostId, Vec<BatchItem>> = BTreeMap::new();
         for (shard, server) in chosen {
-            let entry = newest
-                .server(&server.id)
-                .or_else(|| self.pinned.server(&server.id));
+            let entry = newest.server(&server.id).or_else(|| self.pinned.server(&server.id));
             let Some(seat) = entry.map(|entry| entry.seat.clone()) else {
                 continue;
             };
@@ -521,24 +481,24 @@
                 .lock()
                 .expect("no holder of the lock panics")
                 .on_sent(&server.id);
-            let item = BatchItem {
-                attempt,
-                shard,
-                server: server.id,
-            };
+            let item = BatchItem { attempt, shard, server: server.id };
             by_owner.entry(owner).or_default().push(item);
         }
         for (owner, items) in by_owner {
             let id = rand::rng().random();
             for item in &items {
                 let sent = self.sent.entry(item.shard).or_default();
-                sent.push((owner.clone(), id, item.server.clone()));
+                sent.push(SentAttempt {
+                    owner: owner.clone(),
+                    batch: id,
+                    server: item.server.clone(),
+                });
             }
             self.call(owner, id, items);
         }
     }
 
-    fn call(&mut self, owner: HostId, id: u64, items: Vec<BatchItem>) {
+    fn call(&mut self, owner: HostId, id: BatchId, items: Vec<BatchItem>) {
         let batch = Batch {
             id,
             query: self.query.clone(),
@@ -565,21 +525,18 @@
         let Some(sent) = self.sent.get(&shard) else {
             return;
         };
-        for (owner, id, _) in sent
-            .iter()
-            .filter(|(_, _, server)| running.contains(server))
-        {
+        for loser in sent.iter().filter(|attempt| running.contains(&attempt.server)) {
             let context = self.coordinator.context.clone();
-            if *owner == context.me {
-                self.coordinator.batches.cancel(*id, &[shard]);
+            if loser.owner == context.me {
+                self.coordinator.batches.cancel(loser.batch, &[shard]);
                 continue;
             }
-            let (owner, id) = (owner.clone(), *id);
+            let (owner, id) = (loser.owner.clone(), loser.batch);
             tokio::spawn(async move {
                 let Some(to) = context.address(&owner) else {
                     return;
                 };
-                let call = |client: crate::connection::peer::PeerClient, ctx| async move {
+                let call = |client: PeerClient, ctx| async move {
                     client.cancel(ctx, id, vec![shard]).await
                 };
                 let _ = context.peers.call(&to, MAX_REPLY_MARGIN * 10, call).await;
@@ -590,11 +547,7 @@
     /// Gives up what still runs; dropping the calls stops it at the owners.
     fn abandon(&mut self) {
         self.calls.abort_all();
-        let mut hints = self
-            .coordinator
-            .hints
-            .lock()
-            .expect("no holder of the lock panics");
+        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
         for shard in self.shards.keys() {
             for server in self.gather.running(*shard) {
                 hints.on_abandoned(server);
@@ -623,10 +576,7 @@
                 Err(CallError::Lost) => Outcome::Unknown(UnknownReason::ConnectionLost),
                 Ok(()) => Outcome::Unknown(UnknownReason::TimedOut),
             };
-            let _ = self.events.send(Event::Failed {
-                items: left,
-                outcome,
-            });
+            let _ = self.events.send(Event::Failed { items: left, outcome });
         }
     }
 
@@ -640,32 +590,17 @@
             }
             return Ok(());
         }
-        let to = self
-            .context
-            .address(&self.owner)
-            .ok_or(CallError::NotSent)?;
-        let deadline_us = self
-            .context
-            .peers
-            .deadline_at(&to, self.deadline)
-            .await
-            .ok_or(CallError::NotSent)?;
+        let to = self.context.address(&self.owner).ok_or(CallError::NotSent)?;
+        let deadline_us =
+            self.context.peers.deadline_at(&to, self.deadline).await.ok_or(CallError::NotSent)?;
         batch.deadline_us = deadline_us;
         let timeout = || self.deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
-        let call = |client: crate::connection::peer::PeerClient, ctx| async move {
-            client.run(ctx, batch).await
-        };
+        let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
         let mut part = self.context.peers.call(&to, timeout(), call).await?;
         while self.report(part, left) {
-            let call = |client: crate::connection::peer::PeerClient, ctx| async move {
-                client.collect(ctx, id).await
-            };
-            part = self
-                .context
-                .peers
-                .call(&to, timeout(), call)
-                .await
-                .map_err(|_| CallError::Lost)?;
+            let call = |client: PeerClient, ctx| async move { client.collect(ctx, id).await };
+            part =
+                self.context.peers.call(&to, timeout(), call).await.map_err(|_| CallError::Lost)?;
         }
         Ok(())
     }
@@ -674,10 +609,7 @@
     fn report(&self, part: Part, left: &mut Vec<BatchItem>) -> bool {
         left.retain(|item| !part.ended.iter().any(|report| report.shard == item.shard));
         let more = part.pending > 0 && !left.is_empty();
-        let _ = self.events.send(Event::Part {
-            sent_at: self.sent_at,
-            part,
-        });
+        let _ = self.events.send(Event::Part { sent_at: self.sent_at, part });
         more
     }
 }
--- a/src/request/coverage.rs
+++ b/src/request/coverage.rs
@@ -43,26 +43,16 @@
                 list.sort_unstable();
                 list.dedup();
                 let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
-                Missing {
-                    reason,
-                    count,
-                    shards: ranges(&list),
-                }
+                Missing { reason, count, shards: ranges(&list) }
             })
             .collect();
         let absent: u32 = missing.iter().map(|m| m.count).sum();
-        Self {
-            shards,
-            answered: shards.saturating_sub(absent),
-            missing,
-        }
+        Self { shards, answered: shards.saturating_sub(absent), missing }
     }
 
     /// Returns the covered share in thousandths.
     pub fn permille(&self) -> u32 {
-        (self.answered * 1_000)
-            .checked_div(self.shards)
-            .unwrap_or(1_000)
+        (self.answered * 1_000).checked_div(self.shards).unwrap_or(1_000)
     }
 }
 
@@ -71,20 +61,13 @@
     let mut text = String::new();
     let mut rest = sorted;
     while let Some((&first, _)) = rest.split_first() {
-        let run = rest
-            .iter()
-            .zip(first..)
-            .take_while(|(a, b)| **a == *b)
-            .count();
+        let run = rest.iter().zip(first..).take_while(|(a, b)| **a == *b).count();
         let last = rest[run - 1];
         if !text.is_empty() {
             text.push(',');
         }
-        let written = if run == 1 {
-            write!(text, "{first}")
-        } else {
-            write!(text, "{first}-{last}")
-        };
+        let written =
+            if run == 1 { write!(text, "{first}") } else { write!(text, "{first}-{last}") };
         written.expect("writing to a string always succeeds");
         rest = &rest[run..];
     }
--- a/src/request/coverage/tests.rs
+++ b/src/request/coverage/tests.rs
@@ -10,33 +10,16 @@
         text: &'static [(&'static str, u32, &'static str)],
     }
     let cases = [
+        Case { missing: &[], answered: 20, text: &[] },
+        Case { missing: &[(4, "shed")], answered: 19, text: &[("shed", 1, "4")] },
         Case {
-            missing: &[],
-            answered: 20,
-            text: &[],
-        },
-        Case {
-            missing: &[(4, "shed")],
-            answered: 19,
-            text: &[("shed", 1, "4")],
-        },
-        Case {
-            missing: &[
-                (9, "late"),
-                (1, "shed"),
-                (2, "shed"),
-                (0, "shed"),
-                (7, "late"),
-            ],
+            missing: &[(9, "late"), (1, "shed"), (2, "shed"), (0, "shed"), (7, "late")],
             answered: 15,
             text: &[("late", 2, "7,9"), ("shed", 3, "0-2")],
         },
     ];
     for case in cases {
-        let missing = case
-            .missing
-            .iter()
-            .map(|(shard, reason)| (*shard, SmolStr::new(reason)));
+        let missing = case.missing.iter().map(|(shard, reason)| (*shard, SmolStr::new(reason)));
         let coverage = Coverage::new(20, missing);
         assert_eq!(coverage.answered, case.answered);
         let text: Vec<_> = coverage
--- a/src/request/gather.rs
+++ b/src/request/gather.rs
@@ -35,16 +35,8 @@
         shards: impl IntoIterator<Item = ShardId>,
         limit: Option<usize>,
     ) -> Self {
-        let shards = shards
-            .into_iter()
-            .map(|id| (id, ShardState::default()))
-            .collect();
-        Self {
-            index_version,
-            limit,
-            shards,
-            rows: Vec::new(),
-        }
+        let shards = shards.into_iter().map(|id| (id, ShardState::default())).collect();
+        Self { index_version, limit, shards, rows: Vec::new() }
     }
 
     /// Notes an attempt at a shard.
@@ -67,11 +59,7 @@
             let Some(state) = self.shards.get_mut(&report.shard) else {
                 continue;
             };
-            let Some(at) = state
-                .running
-                .iter()
-                .position(|server| *server == report.server)
-            else {
+            let Some(at) = state.running.iter().position(|server| *server == report.server) else {
                 continue;
             };
             state.running.remove(at);
@@ -88,11 +76,7 @@
                 }
             }
         }
-        self.rows.extend(
-            part.rows
-                .into_iter()
-                .filter(|row| fresh.contains(&row.shard)),
-        );
+        self.rows.extend(part.rows.into_iter().filter(|row| fresh.contains(&row.shard)));
         if let Some(limit) = self.limit {
             self.rows = merge_rows(std::mem::take(&mut self.rows), limit);
         }
@@ -117,11 +101,7 @@
     /// Returns the shards without an answer that have exactly one attempt and had no other.
     pub fn first_attempts(&self) -> Vec<ShardId> {
         let once = |state: &ShardState| state.tried.len() == 1 && state.running.len() == 1;
-        self.shards
-            .iter()
-            .filter(|(_, s)| !s.answered && once(s))
-            .map(|(id, _)| *id)
-            .collect()
+        self.shards.iter().filter(|(_, s)| !s.answered && once(s)).map(|(id, _)| *id).collect()
     }
 
     /// Tells whether a shard is answered.
@@ -136,17 +116,13 @@
 
     /// Tells whether no attempt is running.
     pub fn is_idle(&self) -> bool {
-        self.shards
-            .values()
-            .all(|state| state.answered || state.running.is_empty())
+        self.shards.values().all(|state| state.answered || state.running.is_empty())
     }
 
     /// Tells whether any shard failed because its index version is gone.
     pub fn version_gone(&self) -> bool {
         let gone = Some(Outcome::NotRun(NotRunReason::VersionGone));
-        self.shards
-            .values()
-            .any(|state| !state.answered && state.failure == gone)
+        self.shards.values().any(|state| !state.answered && state.failure == gone)
     }
 
     /// Returns the coverage so far; a shard without an end counts as timed out.
@@ -156,10 +132,7 @@
             .iter()
             .filter(|(_, state)| !state.answered)
             .map(|(shard, state)| (*shard, reason(state)));
-        Coverage::new(
-            u32::try_from(self.shards.len()).unwrap_or(u32::MAX),
-            missing,
-        )
+        Coverage::new(u32::try_from(self.shards.len()).unwrap_or(u32::MAX), missing)
     }
 
     /// Ends the query with what there is.
@@ -168,11 +141,7 @@
         if coverage.answered > 0 || self.shards.is_empty() {
             let limit = self.limit.unwrap_or(usize::MAX);
             let rows = merge_rows(self.rows, limit);
-            return Outcome::Answered(Answer {
-                index_version: self.index_version,
-                coverage,
-                rows,
-            });
+            return Outcome::Answered(Answer { index_version: self.index_version, coverage, rows });
         }
         let unknown = self.shards.values().find_map(|state| match &state.failure {
             _ if !state.running.is_empty() => Some(UnknownReason::TimedOut),
--- a/src/request/gather/tests.rs
+++ b/src/request/gather/tests.rs
@@ -4,22 +4,11 @@
 use crate::connection::peer::ShardReport;
 
 fn row(shard: ShardId, rank: i64) -> Row {
-    Row {
-        shard,
-        rank,
-        key: format!("{shard}-{rank}").into(),
-        text: "x".into(),
-    }
+    Row { shard, rank, key: format!("{shard}-{rank}").into(), text: "x".into() }
 }
 
 fn report(shard: ShardId, server: &str, outcome: Outcome<()>) -> ShardReport {
-    ShardReport {
-        shard,
-        server: server.into(),
-        outcome,
-        expected_us: 0,
-        warm: true,
-    }
+    ShardReport { shard, server: server.into(), outcome, expected_us: 0, warm: true, took_us: 0 }
 }
 
 fn answered(shards: &[(ShardId, &str)], rows: Vec<Row>) -> Part {
@@ -27,11 +16,7 @@
         .iter()
         .map(|(shard, server)| report(*shard, server, Outcome::Answered(())))
         .collect();
-    Part {
-        ended,
-        rows,
-        pending: 0,
-    }
+    Part { ended, rows, pending: 0, held_us: 0 }
 }
 
 fn gather(limit: usize) -> Gather {
@@ -46,16 +31,11 @@
 fn coverage_counts_each_shard_once() {
     let mut gather = gather(10);
     gather.on_sent(1, &"hedge".into());
-    gather.on_part(answered(
-        &[(0, "s0"), (1, "hedge")],
-        vec![row(0, 1), row(1, 2)],
-    ));
+    gather.on_part(answered(&[(0, "s0"), (1, "hedge")], vec![row(0, 1), row(1, 2)]));
     gather.on_part(answered(&[(1, "s1")], vec![row(1, 2), row(1, 3)]));
     gather.on_part(answered(&[(1, "hedge")], vec![row(1, 4)]));
     assert_eq!(gather.coverage().answered, 2);
-    let Outcome::Answered(answer) = gather.finish() else {
-        panic!("two shards are answered")
-    };
+    let Outcome::Answered(answer) = gather.finish() else { panic!("two shards are answered") };
     let ranks: Vec<_> = answer.rows.iter().map(|r| r.rank).collect();
     assert_eq!(ranks, [1, 2], "the hedge's loser adds no rows");
     assert_eq!(answer.coverage.missing[0].reason, "timed_out");
@@ -64,10 +44,7 @@
 #[test]
 fn replies_of_shards_or_attempts_that_were_not_asked_are_ignored() {
     let mut gather = gather(10);
-    gather.on_part(answered(
-        &[(9, "s9"), (0, "s1")],
-        vec![row(9, 1), row(0, 1)],
-    ));
+    gather.on_part(answered(&[(9, "s9"), (0, "s1")], vec![row(9, 1), row(0, 1)]));
     assert_eq!(gather.coverage().answered, 0);
     assert!(gather.finish() == Outcome::Unknown(UnknownReason::TimedOut));
 }
@@ -79,9 +56,7 @@
     gather.on_part(answered(&[(0, "hedge")], vec![row(0, 1), row(0, 2)]));
     let merged = merge_rows(vec![row(0, 1), row(0, 2), row(1, 3), row(1, 4)], 2);
     gather.on_part(answered(&[(0, "s0"), (1, "s1")], merged));
-    let Outcome::Answered(answer) = gather.finish() else {
-        panic!("two shards are answered")
-    };
+    let Outcome::Answered(answer) = gather.finish() else { panic!("two shards are answered") };
     let ranks: Vec<_> = answer.rows.iter().map(|r| r.rank).collect();
     assert_eq!(ranks, [1, 2]);
 }
@@ -120,11 +95,7 @@
             .zip(0..)
             .map(|(outcome, shard)| report(shard, &format!("s{shard}"), outcome.clone()))
             .collect();
-        gather.on_part(Part {
-            ended,
-            rows: Vec::new(),
-            pending: 0,
-        });
+        gather.on_part(Part { ended, rows: Vec::new(), pending: 0, held_us: 0 });
         assert_eq!(gather.finish().map(|_| ()), case.result, "{}", case.name);
     }
 }
@@ -138,6 +109,7 @@
         ended: vec![report(0, server, shed.clone())],
         rows: vec![],
         pending: 0,
+        held_us: 0,
     };
     assert_eq!(gather.on_part(part("s0")), Vec::<ShardId>::new());
     assert_eq!(gather.on_part(part("hedge")), [0]);
--- a/src/request/http.rs
+++ b/src/request/http.rs
@@ -125,6 +125,26 @@
 
 type HttpReply = Response<Full<Bytes>>;
 
+/// Why a request's form is not accepted.
+struct Rejected {
+    status: StatusCode,
+    why: String,
+}
+
+impl Rejected {
+    fn new(status: StatusCode, why: impl Into<String>) -> Self {
+        Self { status, why: why.into() }
+    }
+
+    fn bad(why: impl Into<String>) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, why)
+    }
+
+    fn reply(&self) -> HttpReply {
+        fault(self.status, &self.why)
+    }
+}
+
 /// Serves callers.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerServer {
@@ -135,11 +155,7 @@
 
 impl CallerServer {
     pub(crate) fn new(context: Arc<Context>, coordinator: Arc<Coordinator>) -> Self {
-        Self {
-            context,
-            coordinator,
-            connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
-        }
+        Self { context, coordinator, connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)) }
     }
 
     async fn handle(&self, caller: SocketAddr, request: Request<Incoming>) -> HttpReply {
@@ -157,22 +173,13 @@
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.context.metrics.text()),
             (&Method::POST, _) => match path.strip_prefix("/v1/query/") {
                 Some(service) => self.query(service, request).await,
-                None => fault(
-                    StatusCode::NOT_FOUND,
-                    "no such path; post to /v1/query/{service}",
-                ),
+                None => fault(StatusCode::NOT_FOUND, "no such path; post to /v1/query/{service}"),
             },
             (&Method::GET, _) => {
                 let known = "/v1/entry-hosts, /v1/health, /v1/ready, /v1/status, /metrics";
-                fault(
-                    StatusCode::NOT_FOUND,
-                    &format!("no such path; known: {known}"),
-                )
+                fault(StatusCode::NOT_FOUND, &format!("no such path; known: {known}"))
             }
-            _ => fault(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "use GET, or POST for queries",
-            ),
+            _ => fault(StatusCode::METHOD_NOT_ALLOWED, "use GET, or POST for queries"),
         }
     }
 
@@ -180,32 +187,21 @@
         let arrived = self.context.clock.now();
         let body = match read_body(request).await {
             Ok(body) => body,
-            Err(reply) => return reply,
+            Err(rejected) => return rejected.reply(),
         };
         let config = self.context.operational.load().config.clone();
         let (query, deadline_ms) = match parse(&config, service, &body) {
             Ok(parsed) => parsed,
-            Err(reply) => return reply,
+            Err(rejected) => return rejected.reply(),
         };
         let Some(_running) = Running::begin(&self.context) else {
-            return reply(
-                &query.request_id,
-                Outcome::NotRun(NotRunReason::Overloaded),
-                true,
-            );
+            return reply(&query.request_id, Outcome::NotRun(NotRunReason::Overloaded), true);
         };
-        let idempotent = config
-            .service(service)
-            .is_some_and(|s| s.kind.is_idempotent());
+        let idempotent = config.service(service).is_some_and(|s| s.kind.is_idempotent());
         let id = query.request_id.clone();
         let deadline = arrived + Duration::from_millis(deadline_ms);
         let outcome = self.coordinator.run(query, deadline).await;
-        self.note(
-            service,
-            &id,
-            &outcome,
-            self.context.clock.now().saturating_sub(arrived),
-        );
+        self.note(service, &id, &outcome, self.context.clock.now().saturating_sub(arrived));
         reply(&id, outcome, idempotent)
     }
 
@@ -253,10 +249,7 @@
             .iter()
             .filter_map(|host| {
                 let load = self.load_of(&leases, &host.id, own_load)?;
-                let entry = EntryHost {
-                    host: host.id.clone(),
-                    addr: host.caller_addr,
-                };
+                let entry = EntryHost { host: host.id.clone(), addr: host.caller_addr };
                 Some((weighted(caller, &host.id, load), entry))
             })
             .collect();
@@ -361,77 +354,60 @@
     let _ = connection.await;
 }
 
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, HttpReply> {
+async fn read_body(request: Request<Incoming>) -> Result<Bytes, Rejected> {
     let limited = Limited::new(request.into_body(), MAX_BODY_BYTES);
     match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(fault(
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejected::new(
             StatusCode::PAYLOAD_TOO_LARGE,
-            &format!("the body is larger than {MAX_BODY_BYTES} bytes; send a shorter one"),
-        )),
-        Ok(Err(_)) => Err(fault(
-            StatusCode::BAD_REQUEST,
-            "the body was cut off; send it again",
+            format!("the body is larger than {MAX_BODY_BYTES} bytes; send a shorter one"),
         )),
-        Err(_) => Err(fault(
+        Ok(Err(_)) => Err(Rejected::bad("the body was cut off; send it again")),
+        Err(_) => Err(Rejected::new(
             StatusCode::REQUEST_TIMEOUT,
-            &format!(
-                "the body took longer than {} s; send it at once",
-                BODY_TIMEOUT.as_secs()
-            ),
+            format!("the body took longer than {} s; send it at once", BODY_TIMEOUT.as_secs()),
         )),
     }
 }
 
 /// Checks a request's form and returns it with its deadline in milliseconds.
-fn parse(config: &Config, service: &str, body: &[u8]) -> Result<(Query, u64), HttpReply> {
-    let bad = |why: String| fault(StatusCode::BAD_REQUEST, &why);
+fn parse(config: &Config, service: &str, body: &[u8]) -> Result<(Query, u64), Rejected> {
     let Some(service) = config.service(service) else {
         let known: Vec<&str> = config.services.iter().map(|s| s.id.as_str()).collect();
-        let why = format!(
-            "there is no service named {service}; known: {}",
-            known.join(", ")
-        );
-        return Err(fault(StatusCode::NOT_FOUND, &why));
+        let why = format!("there is no service named {service}; known: {}", known.join(", "));
+        return Err(Rejected::new(StatusCode::NOT_FOUND, why));
     };
     if std::str::from_utf8(body).is_err() {
-        return Err(bad("the body is not UTF-8; send JSON in UTF-8".to_owned()));
+        return Err(Rejected::bad("the body is not UTF-8; send JSON in UTF-8"));
     }
     let body: QueryBody = serde_json::from_slice(body).map_err(|error| {
-        bad(format!(
-            "the body can't be read: {error}; send a JSON object"
-        ))
+        Rejected::bad(format!("the body can't be read: {error}; send a JSON object"))
     })?;
     let deadline_ms = body.deadline_ms.unwrap_or(service.deadline_ms);
     if !(1..=MAX_DEADLINE_MS).contains(&deadline_ms) {
         let why =
             format!("deadline_ms is {deadline_ms}; give a number from 1 to {MAX_DEADLINE_MS}");
-        return Err(bad(why));
+        return Err(Rejected::bad(why));
     }
     if body.request_id.len() > MAX_REQUEST_ID_BYTES {
-        return Err(bad(format!(
-            "request_id is longer than {MAX_REQUEST_ID_BYTES} bytes"
-        )));
+        let why = format!("request_id is longer than {MAX_REQUEST_ID_BYTES} bytes; shorten it");
+        return Err(Rejected::bad(why));
     }
     if body.term.len().max(body.key.len()) > MAX_TEXT_BYTES {
-        return Err(bad(format!(
-            "term or key is longer than {MAX_TEXT_BYTES} bytes"
-        )));
+        let why = format!("term or key is longer than {MAX_TEXT_BYTES} bytes; shorten it");
+        return Err(Rejected::bad(why));
     }
     let limit = body.limit.unwrap_or(service.row_limit);
     if !(1..=service.row_limit).contains(&limit) {
-        let why = format!(
-            "limit is {limit}; give a number from 1 to {}",
-            service.row_limit
-        );
-        return Err(bad(why));
+        let why = format!("limit is {limit}; give a number from 1 to {}", service.row_limit);
+        return Err(Rejected::bad(why));
     }
     if matches!(service.kind, Kind::Fetch | Kind::Submit) && body.key.is_empty() {
-        return Err(bad("key is missing; this service needs one".to_owned()));
+        return Err(Rejected::bad("key is missing; this service needs one"));
     }
     if service.kind == Kind::Submit && body.request_id.is_empty() {
         let why = "request_id is missing; an order needs one, the same whenever it is sent again";
-        return Err(bad(why.to_owned()));
+        return Err(Rejected::bad(why));
     }
     let request_id = if body.request_id.is_empty() {
         format_smolstr!("{:032x}", rand::rng().random::<u128>())
@@ -487,9 +463,7 @@
     let mut response = json(status, &body);
     if let Some(after_ms) = body.retry_after_ms {
         let after_s = millis(Duration::from_millis(after_ms)).div_ceil(1_000);
-        response
-            .headers_mut()
-            .insert(header::RETRY_AFTER, after_s.into());
+        response.headers_mut().insert(header::RETRY_AFTER, after_s.into());
     }
     response
 }
@@ -514,13 +488,7 @@
 
 fn fault(status: StatusCode, error: &str) -> HttpReply {
     let outcome = SmolStr::new_static("not_run");
-    json(
-        status,
-        &Fault {
-            error: error.to_owned(),
-            outcome,
-        },
-    )
+    json(status, &Fault { error: error.to_owned(), outcome })
 }
 
 fn respond(status: StatusCode, content_type: &'static str, body: Bytes) -> HttpReply {
--- a/src/request/keeper.rs
+++ b/src/request/keeper.rs
@@ -44,12 +44,7 @@
     ) -> Arc<Self> {
         let keep = Duration::from_millis(context.operational.load().config.fleet.timing.record_ms);
         let record = Mutex::new(Record::new(keep, RECORD_CAPACITY));
-        Arc::new(Self {
-            context,
-            batches,
-            hints,
-            record,
-        })
+        Arc::new(Self { context, batches, hints, record })
     }
 
     /// Runs a request, or replays what became of it; it goes on when the future is dropped.
@@ -66,11 +61,12 @@
         if now >= deadline {
             return Outcome::NotRun(NotRunReason::DeadlineTooClose);
         }
-        let begin = self
-            .record
-            .lock()
-            .expect("no holder of the lock panics")
-            .begin(now, &query.request_id, query.resend, seat_since);
+        let begin = self.record.lock().expect("no holder of the lock panics").begin(
+            now,
+            &query.request_id,
+            query.resend,
+            seat_since,
+        );
         if let Begin::Reply(outcome) = begin {
             tracing::info!(request = %query.request_id, "replayed from the record");
             return outcome;
@@ -79,15 +75,10 @@
         let run = tokio::spawn(async move {
             let id = query.request_id.clone();
             let outcome = keeper.place(query, deadline.min(valid_until)).await;
-            keeper
-                .record
-                .lock()
-                .expect("no holder of the lock panics")
-                .end(&id, &outcome);
+            keeper.record.lock().expect("no holder of the lock panics").end(&id, &outcome);
             outcome
         });
-        run.await
-            .unwrap_or(Outcome::Unknown(UnknownReason::ConnectionLost))
+        run.await.unwrap_or(Outcome::Unknown(UnknownReason::ConnectionLost))
     }
 
     /// Returns since when this host has kept the request's record, and until when it may act.
@@ -106,11 +97,7 @@
         if self.context.clock.now() >= held.until {
             return Err(NotRunReason::NotOwner);
         }
-        let placed = *self
-            .context
-            .placed_at
-            .lock()
-            .expect("no holder of the lock panics");
+        let placed = *self.context.placed_at.lock().expect("no holder of the lock panics");
         Ok((held.since.max(placed), held.until))
     }
 
@@ -121,11 +108,7 @@
             return Outcome::NotRun(NotRunReason::BadRequest);
         };
         let mut last = NotRunReason::NoPermission;
-        for server in self
-            .replicas(service, &query)
-            .into_iter()
-            .take(MAX_REPLICAS)
-        {
+        for server in self.replicas(service, &query).into_iter().take(MAX_REPLICAS) {
             if self.context.clock.now() >= deadline {
                 return Outcome::NotRun(last);
             }
@@ -151,11 +134,7 @@
             .filter(|server| newest.gate(&server.id).is_ok())
             .map(|server| {
                 let known = hints.candidate(now, &server.id, typical, true, false);
-                let avoid = if known.usable {
-                    Duration::ZERO
-                } else {
-                    typical * 100
-                };
+                let avoid = if known.usable { Duration::ZERO } else { typical * 100 };
                 (known.expected + avoid, rand::rng().random(), server.clone())
             })
             .collect();
@@ -190,16 +169,9 @@
             index_version: service.index_version,
             deadline_us: 0,
             flush_ms: millis(deadline.saturating_sub(self.context.clock.now())),
-            items: vec![BatchItem {
-                attempt,
-                shard: shard.id,
-                server: server.id.clone(),
-            }],
+            items: vec![BatchItem { attempt, shard: shard.id, server: server.id.clone() }],
         };
-        self.hints
-            .lock()
-            .expect("no holder of the lock panics")
-            .on_sent(&server.id);
+        self.hints.lock().expect("no holder of the lock panics").on_sent(&server.id);
         let part = self.exchange(&owner, batch, deadline).await;
         self.conclude(service, &server.id, part)
     }
@@ -215,12 +187,8 @@
             return Ok(self.batches.run(batch).await);
         }
         let to = self.context.address(owner).ok_or(CallError::NotSent)?;
-        batch.deadline_us = self
-            .context
-            .peers
-            .deadline_at(&to, deadline)
-            .await
-            .ok_or(CallError::NotSent)?;
+        batch.deadline_us =
+            self.context.peers.deadline_at(&to, deadline).await.ok_or(CallError::NotSent)?;
         let timeout = deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
         let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
         self.context.peers.call(&to, timeout, call).await
@@ -244,11 +212,9 @@
             Err(CallError::NotSent) => {
                 (Outcome::NotRun(NotRunReason::Unreachable), Vec::new(), None)
             }
-            Err(CallError::Lost) => (
-                Outcome::Unknown(UnknownReason::ConnectionLost),
-                Vec::new(),
-                None,
-            ),
+            Err(CallError::Lost) => {
+                (Outcome::Unknown(UnknownReason::ConnectionLost), Vec::new(), None)
+            }
         };
         let mut hints = self.hints.lock().expect("no holder of the lock panics");
         hints.on_ended(now, server, &outcome, hint);
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -110,9 +110,8 @@
         journal: Arc<Journal>,
     ) -> Result<Arc<Self>> {
         let addr = server.addr;
-        let listener = TcpListener::bind(addr)
-            .await
-            .map_err(|source| Error::Address { addr, source })?;
+        let listener =
+            TcpListener::bind(addr).await.map_err(|source| Error::Address { addr, source })?;
         let state = State {
             instance: format_smolstr!("{}#1", server.id),
             life: CancellationToken::new(),
@@ -232,12 +231,9 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Reply {
         match request.uri().path() {
-            "/v1/instance" => json(
-                StatusCode::OK,
-                &Instance {
-                    instance: self.lock().instance.clone(),
-                },
-            ),
+            "/v1/instance" => {
+                json(StatusCode::OK, &Instance { instance: self.lock().instance.clone() })
+            }
             "/v1/run" => match body::<RunRequest>(request).await {
                 Some(request) => self.run(request).await,
                 None => json(StatusCode::BAD_REQUEST, &"the request can't be read"),
@@ -265,11 +261,7 @@
         let deadline = Duration::from_millis(request.deadline_ms);
         let submit = !request.kind.is_idempotent();
         let work = async {
-            let _slot = self
-                .slots
-                .acquire()
-                .await
-                .expect("the semaphore is never closed");
+            let _slot = self.slots.acquire().await.expect("the semaphore is never closed");
             self.journal.on_run(&request.request_id, submit);
             tokio::time::sleep(self.service_time()).await;
             self.lock().done += 1;
@@ -359,12 +351,5 @@
 }
 
 fn refuse(attempt: AttemptId, reason: RefusalReason, not_run: bool) -> Reply {
-    json(
-        StatusCode::SERVICE_UNAVAILABLE,
-        &Refusal {
-            attempt,
-            reason,
-            not_run,
-        },
-    )
+    json(StatusCode::SERVICE_UNAVAILABLE, &Refusal { attempt, reason, not_run })
 }
--- a/src/standin/data.rs
+++ b/src/standin/data.rs
@@ -21,12 +21,8 @@
     limit: u32,
 ) -> Vec<Row> {
     let rows = match kind {
-        Kind::Listing => (0..LISTING_ROWS)
-            .map(|n| row(shard, version, term, n))
-            .collect(),
-        Kind::Lookup => (0..LOOKUP_ROWS)
-            .map(|n| row(shard, version, term, n))
-            .collect(),
+        Kind::Listing => (0..LISTING_ROWS).map(|n| row(shard, version, term, n)).collect(),
+        Kind::Lookup => (0..LOOKUP_ROWS).map(|n| row(shard, version, term, n)).collect(),
         Kind::Fetch => vec![keyed(shard, version, "item", key)],
         Kind::Submit => vec![keyed(shard, version, "done", key)],
     };
@@ -50,10 +46,5 @@
 }
 
 fn keyed(shard: ShardId, version: IndexVersion, what: &str, key: &str) -> Row {
-    Row {
-        shard,
-        rank: 0,
-        key: SmolStr::new(key),
-        text: format_smolstr!("v{version} {what} {key}"),
-    }
+    Row { shard, rank: 0, key: SmolStr::new(key), text: format_smolstr!("v{version} {what} {key}") }
 }
--- a/src/standin/http_server.rs
+++ b/src/standin/http_server.rs
@@ -47,10 +47,7 @@
 }
 
 pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Reply {
-    raw(
-        status,
-        serde_json::to_vec(body).expect("plain data always serializes"),
-    )
+    raw(status, serde_json::to_vec(body).expect("plain data always serializes"))
 }
 
 pub(crate) fn raw(status: StatusCode, body: Vec<u8>) -> Reply {
--- a/src/standin/journal.rs
+++ b/src/standin/journal.rs
@@ -71,10 +71,7 @@
     /// Notes the arrival of work.
     pub fn on_arrival(&self, server: &ServerId) {
         let mut inner = self.lock();
-        let late = inner
-            .out_since
-            .get(server)
-            .is_some_and(|since| since.elapsed() > OUT_GRACE);
+        let late = inner.out_since.get(server).is_some_and(|since| since.elapsed() > OUT_GRACE);
         if late {
             inner.after_out += 1;
         }
@@ -97,11 +94,7 @@
 
     /// Returns how many requests had their effect more than once.
     pub fn duplicates(&self) -> u64 {
-        self.lock()
-            .submits
-            .values()
-            .filter(|count| **count > 1)
-            .count() as u64
+        self.lock().submits.values().filter(|count| **count > 1).count() as u64
     }
 
     /// Returns the totals so far.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -35,9 +35,8 @@
     ///
     /// Returns [`Error::Address`] where the address can't be listened on.
     pub async fn start(addr: SocketAddr, first: &Config) -> Result<Arc<Self>> {
-        let listener = TcpListener::bind(addr)
-            .await
-            .map_err(|source| Error::Address { addr, source })?;
+        let listener =
+            TcpListener::bind(addr).await.map_err(|source| Error::Address { addr, source })?;
         let (published, _) = watch::channel(first.manifest());
         let platform = Arc::new(Self {
             published,
@@ -101,16 +100,10 @@
         }
         let path = request.uri().path().to_owned();
         if path == "/v1/manifest" {
-            return self
-                .manifest(request.uri().query().unwrap_or_default())
-                .await;
+            return self.manifest(request.uri().query().unwrap_or_default()).await;
         }
         if path == "/v1/hosts" {
-            let hosts = self
-                .hosts
-                .lock()
-                .expect("no holder of the lock panics")
-                .clone();
+            let hosts = self.hosts.lock().expect("no holder of the lock panics").clone();
             return json(StatusCode::OK, &hosts);
         }
         self.document(&path).unwrap_or_else(not_found)
@@ -118,9 +111,8 @@
 
     async fn manifest(&self, query: &str) -> Reply {
         let number = |name: &str| {
-            let value = query
-                .split('&')
-                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+            let value =
+                query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
             value.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0)
         };
         let after = number("after");
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -25,70 +25,32 @@
     for service in &config.services {
         check_service(service, &config.fleet)?;
     }
-    let addrs = config
-        .services
-        .iter()
-        .flat_map(Service::servers)
-        .map(|server| server.addr);
+    let addrs = config.services.iter().flat_map(Service::servers).map(|server| server.addr);
     unique("server addresses", addrs)?;
-    unique(
-        "servers",
-        config
-            .services
-            .iter()
-            .flat_map(Service::servers)
-            .map(|s| &s.id),
-    )?;
+    unique("servers", config.services.iter().flat_map(Service::servers).map(|s| &s.id))?;
     for (name, text) in config.documents() {
         if text.len() > MAX_DOCUMENT_BYTES {
             let remedy = format!("keep each document below {MAX_DOCUMENT_BYTES} bytes");
-            return Err(Error::invalid(
-                name.as_str(),
-                format!("{} bytes", text.len()),
-                remedy,
-            ));
+            return Err(Error::invalid(name.as_str(), format!("{} bytes", text.len()), remedy));
         }
     }
     Ok(())
 }
 
 fn check_fleet(fleet: &Fleet) -> Result<()> {
-    require(
-        !fleet.domains.is_empty(),
-        "domains",
-        "empty",
-        "name at least one failure domain",
-    )?;
-    require(
-        !fleet.hosts.is_empty(),
-        "hosts",
-        "empty",
-        "name at least one entry host",
-    )?;
+    require(!fleet.domains.is_empty(), "domains", "empty", "name at least one failure domain")?;
+    require(!fleet.hosts.is_empty(), "hosts", "empty", "name at least one entry host")?;
     unique("domains", fleet.domains.iter().map(|d| &d.id))?;
     unique("hosts", fleet.hosts.iter().map(|h| &h.id))?;
-    let addrs = fleet
-        .hosts
-        .iter()
-        .flat_map(|h| [h.caller_addr, h.peer_addr]);
+    let addrs = fleet.hosts.iter().flat_map(|h| [h.caller_addr, h.peer_addr]);
     unique::<SocketAddr>("host addresses", addrs)?;
     for host in &fleet.hosts {
         let known = fleet.domains.iter().any(|d| d.id == host.domain);
         let field = format!("hosts.{}.domain", host.id);
-        require(
-            known,
-            &field,
-            &host.domain,
-            "name one of the failure domains",
-        )?;
+        require(known, &field, &host.domain, "name one of the failure domains")?;
     }
     let timing = &fleet.timing;
-    require(
-        timing.heartbeat_ms > 0,
-        "timing.heartbeat_ms",
-        timing.heartbeat_ms,
-        "give 1 or more",
-    )?;
+    require(timing.heartbeat_ms > 0, "timing.heartbeat_ms", timing.heartbeat_ms, "give 1 or more")?;
     let least = timing.heartbeat_ms.saturating_mul(MIN_HEARTBEATS_PER_LEASE);
     require(
         timing.lease_ms >= least,
@@ -101,23 +63,10 @@
 fn check_service(service: &Service, fleet: &Fleet) -> Result<()> {
     let field = |name: &str| format!("services.{}.{name}", service.id);
     let limits = &service.limits;
-    let named = !service.id.is_empty()
-        && service
-            .id
-            .chars()
-            .all(|c| c.is_ascii_alphanumeric() || c == '-');
-    require(
-        named,
-        "services",
-        &service.id,
-        "use letters, digits and hyphens for the name",
-    )?;
-    require(
-        limits.slots > 0,
-        &field("slots"),
-        limits.slots,
-        "give 1 or more",
-    )?;
+    let named =
+        !service.id.is_empty() && service.id.chars().all(|c| c.is_ascii_alphanumeric() || c == '-');
+    require(named, "services", &service.id, "use letters, digits and hyphens for the name")?;
+    require(limits.slots > 0, &field("slots"), limits.slots, "give 1 or more")?;
     let cold = limits.cold_start_limit;
     require(
         (1..=limits.slots).contains(&cold),
@@ -132,12 +81,7 @@
         limits.connections,
         &format!("give at least {least}, so that two owners fit during a hand-over"),
     )?;
-    require(
-        limits.typical_ms > 0,
-        &field("typical_ms"),
-        limits.typical_ms,
-        "give 1 or more",
-    )?;
+    require(limits.typical_ms > 0, &field("typical_ms"), limits.typical_ms, "give 1 or more")?;
     require(
         (1..=MAX_DEADLINE_MS).contains(&service.deadline_ms),
         &field("deadline_ms"),
@@ -151,58 +95,30 @@
         &format!("give a number from 1 to {MAX_ROW_LIMIT}"),
     )?;
     let floor = service.floor_permille;
-    require(
-        floor <= 1_000,
-        &field("coverage_floor_percent"),
-        floor,
-        "give 100 percent or less",
-    )?;
-    require(
-        !service.shards.is_empty(),
-        &field("shards"),
-        0,
-        "give at least one shard",
-    )?;
+    require(floor <= 1_000, &field("coverage_floor_percent"), floor, "give 100 percent or less")?;
+    require(!service.shards.is_empty(), &field("shards"), 0, "give at least one shard")?;
     unique(&field("shards"), service.shards.iter().map(|s| s.id))?;
     for shard in &service.shards {
         let name = format!("{}.{}", field("shards"), shard.id);
-        require(
-            !shard.servers.is_empty(),
-            &name,
-            "without a replica",
-            "give at least one",
-        )?;
+        require(!shard.servers.is_empty(), &name, "without a replica", "give at least one")?;
     }
     for server in service.servers() {
         let known = fleet.domains.iter().any(|d| d.id == server.domain);
         let name = format!("servers.{}.domain", server.id);
-        require(
-            known,
-            &name,
-            &server.domain,
-            "name one of the failure domains",
-        )?;
+        require(known, &name, &server.domain, "name one of the failure domains")?;
     }
     Ok(())
 }
 
 fn require(holds: bool, field: &str, value: impl Display, remedy: &str) -> Result<()> {
-    if holds {
-        Ok(())
-    } else {
-        Err(Error::invalid(field, value, remedy))
-    }
+    if holds { Ok(()) } else { Err(Error::invalid(field, value, remedy)) }
 }
 
 fn unique<T: Hash + Eq + Display>(field: &str, values: impl Iterator<Item = T>) -> Result<()> {
     let mut seen = HashSet::new();
     for value in values {
         if seen.contains(&value) {
-            return Err(Error::invalid(
-                field,
-                value,
-                "use each name and address once",
-            ));
+            return Err(Error::invalid(field, value, "use each name and address once"));
         }
         seen.insert(value);
     }
--- a/src/version/config.rs
+++ b/src/version/config.rs
@@ -215,8 +215,7 @@
     pub fn shard_of(&self, key: &str) -> Option<&Shard> {
         let count = u64::try_from(self.shards.len()).ok()?;
         let hash = stable_hash(DOCUMENT_HASH_SEED, key.as_bytes());
-        self.shards
-            .get(usize::try_from(hash.checked_rem(count)?).ok()?)
+        self.shards.get(usize::try_from(hash.checked_rem(count)?).ok()?)
     }
 }
 
@@ -241,26 +240,18 @@
         let documents = self
             .documents()
             .into_iter()
-            .map(|(name, text)| DocumentRef {
-                name,
-                hash: document_hash(&text),
-            })
+            .map(|(name, text)| DocumentRef { name, hash: document_hash(&text) })
             .collect();
-        Manifest {
-            version: self.version,
-            documents,
-        }
+        Manifest { version: self.version, documents }
     }
 
     /// Returns the documents of this version as their names and contents.
     pub fn documents(&self) -> Vec<(SmolStr, String)> {
         let fleet = (SmolStr::new_static(FLEET_DOCUMENT), to_json(&self.fleet));
-        let services = self.services.iter().map(|service| {
-            (
-                SmolStr::new(format!("service-{}", service.id)),
-                to_json(service),
-            )
-        });
+        let services = self
+            .services
+            .iter()
+            .map(|service| (SmolStr::new(format!("service-{}", service.id)), to_json(service)));
         std::iter::once(fleet).chain(services).collect()
     }
 
@@ -291,21 +282,13 @@
         }
         let fleet = fleet.ok_or_else(|| Error::malformed("manifest", "it names no fleet"))?;
         services.sort_by(|a, b| a.id.cmp(&b.id));
-        Ok(Self {
-            version: manifest.version,
-            fleet,
-            services,
-        })
+        Ok(Self { version: manifest.version, fleet, services })
     }
 
     /// Returns a hash over all documents, equal only for equal content.
     pub fn content_hash(&self) -> u64 {
-        let hashes: Vec<u8> = self
-            .manifest()
-            .documents
-            .iter()
-            .flat_map(|entry| entry.hash.to_le_bytes())
-            .collect();
+        let hashes: Vec<u8> =
+            self.manifest().documents.iter().flat_map(|entry| entry.hash.to_le_bytes()).collect();
         stable_hash(DOCUMENT_HASH_SEED, &hashes)
     }
 }
--- a/src/version/diff.rs
+++ b/src/version/diff.rs
@@ -24,9 +24,7 @@
 pub fn diff(old: &Config, new: &Config) -> Vec<Change> {
     let old = flatten(old);
     let new = flatten(new);
-    let paths = old
-        .keys()
-        .chain(new.keys().filter(|path| !old.contains_key(*path)));
+    let paths = old.keys().chain(new.keys().filter(|path| !old.contains_key(*path)));
     let mut changes: Vec<Change> = paths
         .filter(|path| old.get(*path) != new.get(*path))
         .map(|path| Change {
@@ -48,11 +46,7 @@
 
 fn walk(path: String, value: &Value, fields: &mut BTreeMap<String, String>) {
     let join = |name: &str| {
-        if path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{path}.{name}")
-        }
+        if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
     };
     match value {
         Value::Object(map) => map.iter().for_each(|(name, v)| walk(join(name), v, fields)),
@@ -69,7 +63,5 @@
 }
 
 fn plain(value: &Value) -> String {
-    value
-        .as_str()
-        .map_or_else(|| value.to_string(), str::to_owned)
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
--- a/src/version/operational.rs
+++ b/src/version/operational.rs
@@ -50,9 +50,7 @@
                 let Some(seat) = placement::seat_of(&config, server) else {
                     continue;
                 };
-                let out = config
-                    .domain(&server.domain)
-                    .is_none_or(|domain| domain.out);
+                let out = config.domain(&server.domain).is_none_or(|domain| domain.out);
                 let closed = if out {
                     Some(NotRunReason::DomainOut)
                 } else if server.leaving || leaving.contains(&server.id) {
@@ -60,10 +58,7 @@
                 } else {
                     None
                 };
-                servers.insert(
-                    server.id.clone(),
-                    Self::entry(service, server, seat, closed),
-                );
+                servers.insert(server.id.clone(), Self::entry(service, server, seat, closed));
             }
         }
         let candidates = config
@@ -72,11 +67,7 @@
             .iter()
             .map(|host| (host.id.clone(), placement::candidates(&config, &host.id)))
             .collect();
-        Self {
-            config,
-            servers,
-            candidates,
-        }
+        Self { config, servers, candidates }
     }
 
     fn entry(
@@ -113,26 +104,17 @@
     ///
     /// Returns why it may not.
     pub fn gate(&self, server: &str) -> Result<&ServerEntry, NotRunReason> {
-        let entry = self
-            .servers
-            .get(server)
-            .ok_or(NotRunReason::ServerLeaving)?;
+        let entry = self.servers.get(server).ok_or(NotRunReason::ServerLeaving)?;
         entry.closed.map_or(Ok(entry), Err)
     }
 
     /// Returns the hosts that may hold a seat, best first.
     pub fn candidates(&self, seat: &str) -> &[HostId] {
-        self.candidates
-            .get(seat)
-            .map_or(&[], |list| list.as_slice())
+        self.candidates.get(seat).map_or(&[], |list| list.as_slice())
     }
 
     /// Tells whether operators let a host take part.
     pub fn host_is_in(&self, host: &Host) -> bool {
-        !host.leaving
-            && self
-                .config
-                .domain(&host.domain)
-                .is_some_and(|domain| !domain.out)
+        !host.leaving && self.config.domain(&host.domain).is_some_and(|domain| !domain.out)
     }
 }
--- a/src/version/operations.rs
+++ b/src/version/operations.rs
@@ -29,31 +29,17 @@
     next.version += 1;
     let (flag, kind, name) = match target {
         Target::Domain(name) => {
-            let flag = next
-                .fleet
-                .domains
-                .iter_mut()
-                .find(|d| d.id == *name)
-                .map(|d| &mut d.out);
+            let flag = next.fleet.domains.iter_mut().find(|d| d.id == *name).map(|d| &mut d.out);
             (flag, "failure domain", name)
         }
         Target::Host(name) => {
-            let flag = next
-                .fleet
-                .hosts
-                .iter_mut()
-                .find(|h| h.id == *name)
-                .map(|h| &mut h.leaving);
+            let flag = next.fleet.hosts.iter_mut().find(|h| h.id == *name).map(|h| &mut h.leaving);
             (flag, "host", name)
         }
         Target::Server(name) => {
             let shards = next.services.iter_mut().flat_map(|s| &mut s.shards);
             let mut servers = shards.flat_map(|s| &mut s.servers);
-            (
-                servers.find(|s| s.id == *name).map(|s| &mut s.leaving),
-                "backend server",
-                name,
-            )
+            (servers.find(|s| s.id == *name).map(|s| &mut s.leaving), "backend server", name)
         }
     };
     match flag {
@@ -62,11 +48,7 @@
     }
     if next.fleet.domains.iter().all(|d| d.out) {
         let remedy = "bring another failure domain back first";
-        return Err(Error::invalid(
-            format!("domains.{}.out", target.name()),
-            out,
-            remedy,
-        ));
+        return Err(Error::invalid(format!("domains.{}.out", target.name()), out, remedy));
     }
     super::check::check(&next)?;
     Ok(next)
@@ -94,19 +76,11 @@
     let servers: Vec<_> = target.servers().cloned().collect();
     if shards == 0 || servers.len() < shards as usize {
         let remedy = format!("give a number from 1 to {}", servers.len());
-        return Err(Error::invalid(
-            format!("services.{service}.shards"),
-            shards,
-            remedy,
-        ));
+        return Err(Error::invalid(format!("services.{service}.shards"), shards, remedy));
     }
     target.index_version = index_version;
-    target.shards = (0..shards)
-        .map(|id| super::config::Shard {
-            id,
-            servers: Vec::new(),
-        })
-        .collect();
+    target.shards =
+        (0..shards).map(|id| super::config::Shard { id, servers: Vec::new() }).collect();
     for (n, server) in servers.into_iter().enumerate() {
         target.shards[n % shards as usize].servers.push(server);
     }
@@ -123,32 +97,16 @@
 }
 
 fn unknown(kind: &'static str, name: &str, known: Vec<String>) -> Error {
-    Error::UnknownName {
-        kind,
-        name: name.to_owned(),
-        known: known.join(", "),
-    }
+    Error::UnknownName { kind, name: name.to_owned(), known: known.join(", ") }
 }
 
 fn known_names(config: &Config, target: &Target) -> Vec<String> {
     match target {
-        Target::Domain(_) => config
-            .fleet
-            .domains
-            .iter()
-            .map(|d| d.id.to_string())
-            .collect(),
-        Target::Host(_) => config
-            .fleet
-            .hosts
-            .iter()
-            .map(|h| h.id.to_string())
-            .collect(),
-        Target::Server(_) => config
-            .services
-            .iter()
-            .map(|s| format!("the servers of {}", s.id))
-            .collect(),
+        Target::Domain(_) => config.fleet.domains.iter().map(|d| d.id.to_string()).collect(),
+        Target::Host(_) => config.fleet.hosts.iter().map(|h| h.id.to_string()).collect(),
+        Target::Server(_) => {
+            config.services.iter().map(|s| format!("the servers of {}", s.id)).collect()
+        }
     }
 }
 
--- a/src/version/operations/tests.rs
+++ b/src/version/operations/tests.rs
@@ -16,14 +16,8 @@
         path: &'static str,
     }
     let cases = [
-        Case {
-            target: Target::Domain("east".into()),
-            path: "fleet.domains.east.out",
-        },
-        Case {
-            target: Target::Host("entry-3".into()),
-            path: "fleet.hosts.entry-3.leaving",
-        },
+        Case { target: Target::Domain("east".into()), path: "fleet.domains.east.out" },
+        Case { target: Target::Host("entry-3".into()), path: "fleet.hosts.entry-3.leaving" },
         Case {
             target: Target::Server("fuel-ledger-0-2".into()),
             path: "services.fuel-ledger.shards.0.servers.fuel-ledger-0-2.leaving",
@@ -46,9 +40,7 @@
         config = set_out(&config, &Target::Domain(name.into()), true).unwrap();
     }
     assert!(set_out(&config, &Target::Domain("west".into()), true).is_err());
-    let message = set_out(&config, &Target::Domain("up".into()), true)
-        .unwrap_err()
-        .to_string();
+    let message = set_out(&config, &Target::Domain("up".into()), true).unwrap_err().to_string();
     assert!(message.contains("north"), "{message}");
 }
 
--- a/src/version/placement.rs
+++ b/src/version/placement.rs
@@ -29,10 +29,7 @@
     if near {
         hosts.retain(|host| host.domain == server.domain);
     }
-    hosts
-        .into_iter()
-        .max_by_key(|host| weight(OWNER_SEED, &server.id, host))
-        .map(|h| h.id.clone())
+    hosts.into_iter().max_by_key(|host| weight(OWNER_SEED, &server.id, host)).map(|h| h.id.clone())
 }
 
 /// Returns the hosts that may hold a seat: its own host first, then those of the same failure
@@ -41,20 +38,12 @@
     let Some(own) = config.host(seat) else {
         return HostList::new();
     };
-    let mut hosts: Vec<&Host> = config
-        .fleet
-        .hosts
-        .iter()
-        .filter(|h| h.id != own.id)
-        .collect();
+    let mut hosts: Vec<&Host> = config.fleet.hosts.iter().filter(|h| h.id != own.id).collect();
     hosts.sort_by_key(|host| {
         let far = host.domain != own.domain;
         (far, std::cmp::Reverse(weight(STANDBY_SEED, seat, host)))
     });
-    std::iter::once(own)
-        .chain(hosts)
-        .map(|host| host.id.clone())
-        .collect()
+    std::iter::once(own).chain(hosts).map(|host| host.id.clone()).collect()
 }
 
 /// Returns the witnesses of a seat: an odd number of other hosts, spread over failure domains.
@@ -64,12 +53,10 @@
     let mut chosen: Vec<&Host> = Vec::new();
     while chosen.len() < MAX_WITNESSES && !left.is_empty() {
         let used = |domain: &DomainId| chosen.iter().filter(|h| h.domain == *domain).count();
-        let next = (0..left.len())
-            .min_by_key(|n| used(&left[*n].domain))
-            .unwrap_or(0);
+        let next = (0..left.len()).min_by_key(|n| used(&left[*n].domain)).unwrap_or(0);
         chosen.push(left.remove(next));
     }
-    if chosen.len() % 2 == 0 {
+    if chosen.len().is_multiple_of(2) {
         chosen.pop();
     }
     chosen.into_iter().map(|host| host.id.clone()).collect()
@@ -82,11 +69,7 @@
 
 /// Returns the seat whose holder keeps the record of a non-idempotent request.
 pub fn keeper_seat(config: &Config, request: &str) -> Option<HostId> {
-    let best = config
-        .fleet
-        .hosts
-        .iter()
-        .max_by_key(|host| weight(KEEPER_SEED, request, host));
+    let best = config.fleet.hosts.iter().max_by_key(|host| weight(KEEPER_SEED, request, host));
     best.map(|host| host.id.clone())
 }
 
--- a/src/version/placement/tests.rs
+++ b/src/version/placement/tests.rs
@@ -16,24 +16,11 @@
         hash: u64,
     }
     let cases = [
-        Case {
-            seed: 1,
-            key: "dispatch-desk-0-0",
-            hash: 5080187035262985716,
-        },
-        Case {
-            seed: 2,
-            key: "entry-1",
-            hash: 16897342644839143384,
-        },
+        Case { seed: 1, key: "dispatch-desk-0-0", hash: 5080187035262985716 },
+        Case { seed: 2, key: "entry-1", hash: 16897342644839143384 },
     ];
     for case in cases {
-        assert_eq!(
-            stable_hash(case.seed, case.key.as_bytes()),
-            case.hash,
-            "{}",
-            case.key
-        );
+        assert_eq!(stable_hash(case.seed, case.key.as_bytes()), case.hash, "{}", case.key);
     }
 }
 
@@ -58,13 +45,8 @@
         assert_eq!(list.len(), 7);
         assert!(!list.contains(&host.id));
         for domain in &config.fleet.domains {
-            let near = list
-                .iter()
-                .filter(|w| config.host(w).unwrap().domain == domain.id);
-            assert!(
-                near.count() < majority(list.len()),
-                "one domain is never a majority"
-            );
+            let near = list.iter().filter(|w| config.host(w).unwrap().domain == domain.id);
+            assert!(near.count() < majority(list.len()), "one domain is never a majority");
         }
     }
 }
--- a/src/version/questionnaire.rs
+++ b/src/version/questionnaire.rs
@@ -115,11 +115,7 @@
     /// Returns [`Error::Invalid`] for an answer that can't be used.
     pub fn generate(&self, version: ConfigVersion) -> Result<Config> {
         if self.domains.is_empty() {
-            return Err(Error::invalid(
-                "domains",
-                "empty",
-                "name at least one failure domain",
-            ));
+            return Err(Error::invalid("domains", "empty", "name at least one failure domain"));
         }
         let mut services = self
             .services
@@ -127,37 +123,18 @@
             .map(|answers| self.service(answers))
             .collect::<Result<Vec<_>>>()?;
         services.sort_by(|a, b| a.id.cmp(&b.id));
-        let config = Config {
-            version,
-            fleet: self.fleet()?,
-            services,
-        };
+        let config = Config { version, fleet: self.fleet()?, services };
         super::check::check(&config)?;
         Ok(config)
     }
 
     fn fleet(&self) -> Result<Fleet> {
-        let domains = self
-            .domains
-            .iter()
-            .map(|id| Domain {
-                id: id.clone(),
-                out: false,
-            })
-            .collect();
+        let domains = self.domains.iter().map(|id| Domain { id: id.clone(), out: false }).collect();
         let entry = &self.entry_hosts;
-        let callers = addresses(
-            "entry_hosts.caller_port",
-            &entry.addresses,
-            entry.caller_port,
-            entry.count,
-        )?;
-        let peers = addresses(
-            "entry_hosts.peer_port",
-            &entry.addresses,
-            entry.peer_port,
-            entry.count,
-        )?;
+        let callers =
+            addresses("entry_hosts.caller_port", &entry.addresses, entry.caller_port, entry.count)?;
+        let peers =
+            addresses("entry_hosts.peer_port", &entry.addresses, entry.peer_port, entry.count)?;
         let hosts = callers
             .into_iter()
             .zip(peers)
@@ -177,12 +154,7 @@
             leave_grace_ms: DEFAULT_LEAVE_GRACE_MS,
             record_ms: DEFAULT_RECORD_MS,
         };
-        Ok(Fleet {
-            deployment: self.deployment.clone(),
-            domains,
-            hosts,
-            timing,
-        })
+        Ok(Fleet { deployment: self.deployment.clone(), domains, hosts, timing })
     }
 
     fn service(&self, answers: &ServiceAnswers) -> Result<Service> {
@@ -202,10 +174,7 @@
         let shards = addrs
             .chunks(replicas)
             .zip(0..)
-            .map(|(chunk, id)| Shard {
-                id,
-                servers: self.replicas(answers, id, chunk),
-            })
+            .map(|(chunk, id)| Shard { id, servers: self.replicas(answers, id, chunk) })
             .collect();
         Ok(Service {
             id: answers.name.clone(),
@@ -246,28 +215,16 @@
 /// Counts ports up from the first, over the given addresses in turn.
 fn addresses(field: &str, ips: &[IpAddr], port: u16, count: usize) -> Result<Vec<SocketAddr>> {
     if ips.is_empty() {
-        return Err(Error::invalid(
-            field,
-            "without an address",
-            "give at least one address",
-        ));
+        return Err(Error::invalid(field, "without an address", "give at least one address"));
     }
     if count > MAX_PORTS {
-        return Err(Error::invalid(
-            field,
-            count,
-            format!("ask for at most {MAX_PORTS} ports"),
-        ));
+        return Err(Error::invalid(field, count, format!("ask for at most {MAX_PORTS} ports")));
     }
     (0..count)
         .map(|n| {
             let step = u16::try_from(n / ips.len()).unwrap_or(u16::MAX);
             let port = port.checked_add(step).ok_or_else(|| {
-                Error::invalid(
-                    field,
-                    port,
-                    format!("leave room for {count} ports below 65536"),
-                )
+                Error::invalid(field, port, format!("leave room for {count} ports below 65536"))
             })?;
             Ok(SocketAddr::new(ips[n % ips.len()], port))
         })
--- a/src/version/questionnaire/tests.rs
+++ b/src/version/questionnaire/tests.rs
@@ -13,22 +13,11 @@
         hosts: usize,
     }
     let cases = [
-        Case {
-            text: TARLAC,
-            servers: 118,
-            hosts: 8,
-        },
-        Case {
-            text: MOKA_LABS,
-            servers: 113,
-            hosts: 8,
-        },
+        Case { text: TARLAC, servers: 118, hosts: 8 },
+        Case { text: MOKA_LABS, servers: 113, hosts: 8 },
     ];
     for case in cases {
-        let config = Questionnaire::from_toml(case.text)
-            .unwrap()
-            .generate(1)
-            .unwrap();
+        let config = Questionnaire::from_toml(case.text).unwrap().generate(1).unwrap();
         let servers: usize = config.services.iter().map(|s| s.servers().count()).sum();
         assert_eq!(servers, case.servers);
         assert_eq!(config.fleet.hosts.len(), case.hosts);
@@ -43,36 +32,12 @@
         says: &'static str,
     }
     let cases = [
-        Case {
-            from: "slots = 3",
-            to: "slots = 0",
-            says: "slots",
-        },
-        Case {
-            from: "shards = 20",
-            to: "shards = 0",
-            says: "shards",
-        },
-        Case {
-            from: "cold_start_limit = 2",
-            to: "cold_start_limit = 9",
-            says: "cold_start_limit",
-        },
-        Case {
-            from: "deadline_ms = 400",
-            to: "deadline_ms = 0",
-            says: "deadline_ms",
-        },
-        Case {
-            from: "kind = \"listing\"",
-            to: "kind = \"poem\"",
-            says: "poem",
-        },
-        Case {
-            from: "server_port = 21000",
-            to: "server_port = 65535",
-            says: "server_port",
-        },
+        Case { from: "slots = 3", to: "slots = 0", says: "slots" },
+        Case { from: "shards = 20", to: "shards = 0", says: "shards" },
+        Case { from: "cold_start_limit = 2", to: "cold_start_limit = 9", says: "cold_start_limit" },
+        Case { from: "deadline_ms = 400", to: "deadline_ms = 0", says: "deadline_ms" },
+        Case { from: "kind = \"listing\"", to: "kind = \"poem\"", says: "poem" },
+        Case { from: "server_port = 21000", to: "server_port = 65535", says: "server_port" },
     ];
     for case in cases {
         assert!(TARLAC.contains(case.from), "the fixture has {}", case.from);
@@ -85,17 +50,9 @@
 
 #[test]
 fn documents_round_trip_and_reject_a_wrong_hash() {
-    let config = Questionnaire::from_toml(TARLAC)
-        .unwrap()
-        .generate(7)
-        .unwrap();
+    let config = Questionnaire::from_toml(TARLAC).unwrap().generate(7).unwrap();
     let documents = config.documents();
-    let find = |name: &str| {
-        documents
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, text)| text.clone())
-    };
+    let find = |name: &str| documents.iter().find(|(n, _)| n == name).map(|(_, text)| text.clone());
     let manifest = config.manifest();
     let back = Config::from_documents(&manifest, |entry| find(&entry.name)).unwrap();
     assert_eq!(back, config);
