Suspect hosts that do not answer; count cancelled attempts as evidence

Cause: (1) under a partition every query with a part at a cut-off host waited for its deadline until the lease ran out; (2) hedges cancelled the slow attempts at cold servers, so only fast replies were judged and three cold servers were taken for warm. Change: a call without an answer in time makes its host suspect, work goes elsewhere within the retry budget and orders are refused unsent; a cancelled attempt counts as not fast, and ten of twelve replies must be fast. Callers of a paused host still lose their request.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -14,7 +14,7 @@
 use crate::request::http::{EntryHosts, Fault, Reply, Status};
 use crate::request::query::QueryBody;
 
-const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a caller waits beyond the deadline before it gives up.
 const REPLY_GRACE: Duration = Duration::from_millis(500);
--- a/src/process/batches.rs
+++ b/src/process/batches.rs
@@ -20,6 +20,8 @@
 
 /// How long a part waits for more replies once it has one.
 const GATHER_WAIT: Duration = Duration::from_millis(1);
+/// How long a collection waits for a first reply.
+pub(crate) const COLLECT_WAIT: Duration = Duration::from_millis(100);
 /// How long an unfinished batch is kept after its deadline.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_millis(100);
 
@@ -56,18 +58,20 @@
         let flush = Instant::now() + Duration::from_millis(batch.flush_ms);
         let id = batch.id;
         let mut open = self.start(batch, deadline);
-        let part = open.gather(flush).await;
+        let part = open.gather(flush, flush).await;
         self.keep(id, open, deadline);
         part
     }
 
-    /// Waits for more of a batch; an unknown one has nothing pending.
+    /// Waits for more of a batch, but not for long, so that its coordinator sees that this host
+    /// is alive; an unknown one has nothing pending.
     pub(crate) async fn collect(self: &Arc<Self>, id: BatchId, deadline: Monotonic) -> Part {
         let taken = self.open.lock().expect("no holder of the lock panics").remove(&id);
         let Some(mut open) = taken else {
             return Part { ended: Vec::new(), rows: Vec::new(), pending: 0, held_us: 0 };
         };
-        let part = open.gather(Instant::now()).await;
+        let now = Instant::now();
+        let part = open.gather(now, now + COLLECT_WAIT).await;
         self.keep(id, open, deadline);
         part
     }
@@ -138,22 +142,16 @@
 }
 
 impl OpenBatch {
-    /// Collects results until all have ended, or until `flush` has passed and one has come.
-    async fn gather(&mut self, flush: Instant) -> Part {
+    /// Collects results until all have ended, until `flush` has passed and one has come, or
+    /// until `give_up`.
+    async fn gather(&mut self, flush: Instant, give_up: Instant) -> Part {
         let mut ended = Vec::new();
         let mut rows = Vec::new();
         while self.pending > 0 {
-            let wait = if ended.is_empty() && Instant::now() >= flush {
-                self.results.recv().await
-            } else {
-                let until = flush.max(Instant::now() + GATHER_WAIT);
-                match tokio::time::timeout_at(until, self.results.recv()).await {
-                    Ok(result) => result,
-                    Err(_) if ended.is_empty() => continue,
-                    Err(_) => break,
-                }
-            };
-            let Some((report, more)) = wait else { break };
+            let until =
+                if ended.is_empty() { give_up } else { flush.max(Instant::now() + GATHER_WAIT) };
+            let result = tokio::time::timeout_at(until, self.results.recv()).await;
+            let Ok(Some((report, more))) = result else { break };
             self.pending -= 1;
             ended.push(report);
             rows.extend(more);
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -10,6 +10,7 @@
 use super::metrics::Metrics;
 use super::pause::PauseGuard;
 use super::permission::Role;
+use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::links::Links;
 use crate::connection::peer_pool::{PeerAddress, PeerPool};
@@ -33,6 +34,7 @@
     /// The newest snapshot of leases.
     pub(crate) leases: ArcSwap<LeaseView>,
     pub(crate) pause: Mutex<PauseGuard>,
+    pub(crate) suspicion: Mutex<Suspicion>,
     /// When the placement of seats last changed.
     pub(crate) placed_at: Mutex<Monotonic>,
     /// Requests of callers that are running.
@@ -89,6 +91,31 @@
         })
     }
 
+    /// Takes in a sign of life of another host.
+    pub(crate) fn heard(&self, host: &HostId) {
+        let now = self.clock.now();
+        self.suspicion.lock().expect("no holder of the lock panics").on_heard(now, host);
+    }
+
+    /// Takes in that a host has not answered a call in time; nothing is concluded from what this
+    /// host may have missed itself.
+    pub(crate) fn late(&self, host: &HostId, sent_at: Monotonic) {
+        if self.must_wait() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut suspicion = self.suspicion.lock().expect("no holder of the lock panics");
+        if suspicion.on_late(now, host, sent_at) {
+            tracing::warn!(%host, "no answer in time; work goes elsewhere");
+        }
+    }
+
+    /// Tells whether work should go to another host.
+    pub(crate) fn is_suspect(&self, host: &HostId) -> bool {
+        let now = self.clock.now();
+        self.suspicion.lock().expect("no holder of the lock panics").is_suspect(now, host)
+    }
+
     /// Tells whether sending must wait for word from outside after a pause.
     pub(crate) fn must_wait(&self) -> bool {
         let now = self.clock.now();
--- a/src/process/host.rs
+++ b/src/process/host.rs
@@ -113,6 +113,7 @@
             operational: ArcSwap::from_pointee(operational),
             leases: ArcSwap::from_pointee(LeaseView::default()),
             pause: Mutex::new(PauseGuard::new(clock.now())),
+            suspicion: Mutex::default(),
             placed_at: Mutex::new(Monotonic::ZERO),
             running: AtomicU32::new(0),
             leaving: CancellationToken::new(),
--- a/src/process/membership_actor.rs
+++ b/src/process/membership_actor.rs
@@ -25,7 +25,7 @@
 /// How often the state machine looks at the clock.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
 /// How long a call to a witness may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The token account of the gossip; see `docs/GOSSIP.md`.
 pub(crate) const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 2, capacity: 6 };
 
@@ -124,9 +124,12 @@
     let sent_at = context.clock.now();
     let seat = claim.seat.clone();
     let call = |client: PeerClient, ctx| async move { client.claim(ctx, claim).await };
-    if let Ok(answer) = context.peers.call(&address, CALL_TIMEOUT, call).await {
-        context.peers.observe_clock(&to, answer.clock_us);
-        let _ = actor.tell(Answered { from: to, seat, sent_at, answer }).await;
+    match context.peers.call(&address, CALL_TIMEOUT, call).await {
+        Ok(answer) => {
+            context.peers.observe_clock(&to, answer.clock_us);
+            let _ = actor.tell(Answered { from: to, seat, sent_at, answer }).await;
+        }
+        Err(_) => context.late(&to, sent_at),
     }
 }
 
@@ -186,6 +189,7 @@
     async fn handle(&mut self, msg: Answered, _: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
         let Answered { from, seat, sent_at, answer } = msg;
+        self.context.heard(&from);
         self.membership.on_claim_reply(now, &from, &seat, sent_at, &answer.reply);
         self.compare_config(&from, answer.config_version, sent_at);
         self.publish();
@@ -217,6 +221,7 @@
 
     async fn handle(&mut self, push: Push, ctx: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
+        self.context.heard(&push.from);
         let (received, actions) = self.membership.on_push(now, &push, &mut self.rng);
         if received.newer_config {
             let _ = self.newer_at.send(push.from.clone());
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -19,4 +19,5 @@
 pub mod permission;
 pub mod record;
 pub mod server_queue;
+pub mod suspicion;
 pub mod temperature;
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -456,8 +456,14 @@
             Outcome::Unknown(UnknownReason::ConnectionLost) => state.idle.clear(),
             _ => {}
         }
-        let evidence = ran || (late && !job.cancel.is_cancelled());
-        if evidence && state.temperature.on_reply(took, &entry.limits) {
+        let turned_cold = if job.cancel.is_cancelled() {
+            state.temperature.on_cancelled(took, &entry.limits)
+        } else if ran || late {
+            state.temperature.on_reply(took, &entry.limits)
+        } else {
+            false
+        };
+        if turned_cold {
             tracing::info!(server = %server.id, took_us = micros(took), "slow replies: cold");
             self.context.metrics.cold_turn();
             self.shed_surplus(server, &state);
--- a/src/process/temperature.rs
+++ b/src/process/temperature.rs
@@ -11,9 +11,9 @@
 use crate::version::config::ServerLimits;
 
 /// Replies that are looked at together.
-const WINDOW: usize = 8;
+const WINDOW: usize = 12;
 /// Fast replies among them that show a warm server.
-const FAST_TO_WARM: usize = 6;
+const FAST_TO_WARM: usize = 10;
 /// Further fast replies for each step of the ramp.
 const FAST_PER_STEP: u32 = 4;
 /// A reply is fast up to this many times the usual time.
@@ -71,13 +71,23 @@
     /// `true` where it made the server cold.
     pub fn on_reply(&mut self, took: Duration, limits: &ServerLimits) -> bool {
         let typical = Duration::from_millis(limits.typical_ms);
-        let pace = if took <= typical * FAST_FACTOR {
-            Pace::Fast
-        } else if took <= typical * SLOW_FACTOR {
-            Pace::Middling
-        } else {
-            Pace::Slow
-        };
+        let pace =
+            if took <= typical * FAST_FACTOR { Pace::Fast } else { Self::slower(took, typical) };
+        self.on_pace(pace, limits)
+    }
+
+    /// Takes in a request that was cancelled after a time; it shows that the server was not fast,
+    /// since cancelling falls on the slow ones.
+    pub fn on_cancelled(&mut self, after: Duration, limits: &ServerLimits) -> bool {
+        let typical = Duration::from_millis(limits.typical_ms);
+        self.on_pace(Self::slower(after, typical), limits)
+    }
+
+    fn slower(took: Duration, typical: Duration) -> Pace {
+        if took <= typical * SLOW_FACTOR { Pace::Middling } else { Pace::Slow }
+    }
+
+    fn on_pace(&mut self, pace: Pace, limits: &ServerLimits) -> bool {
         if self.paces.len() == WINDOW {
             self.paces.remove(0);
         }
--- a/src/process/temperature/tests.rs
+++ b/src/process/temperature/tests.rs
@@ -8,10 +8,11 @@
 enum Event {
     Instance(&'static str),
     Replies(u32, u64),
+    Cancelled(u32, u64),
     Shed,
     Forget,
 }
-use Event::{Forget, Instance, Replies, Shed};
+use Event::{Cancelled, Forget, Instance, Replies, Shed};
 
 #[test]
 fn warmth_follows_the_evidence() {
@@ -28,48 +29,60 @@
             warmth: Warmth::Cold,
         },
         Case {
-            name: "seven fast replies are too few",
-            events: &[Instance("a"), Replies(7, 9)],
+            name: "eleven fast replies are too few",
+            events: &[Instance("a"), Replies(11, 9)],
             warmth: Warmth::Cold,
         },
         Case {
             name: "the ramp starts",
-            events: &[Instance("a"), Replies(8, 9)],
+            events: &[Instance("a"), Replies(12, 9)],
             warmth: Warmth::Ramping(3),
         },
         Case {
             name: "the ramp ends",
-            events: &[Instance("a"), Replies(12, 9)],
+            events: &[Instance("a"), Replies(16, 9)],
             warmth: Warmth::Warm,
         },
         Case {
             name: "a new life is cold",
-            events: &[Instance("a"), Replies(12, 9), Instance("b")],
+            events: &[Instance("a"), Replies(16, 9), Instance("b")],
             warmth: Warmth::Cold,
         },
         Case {
             name: "the same life stays warm",
-            events: &[Instance("a"), Replies(12, 9), Instance("a")],
+            events: &[Instance("a"), Replies(16, 9), Instance("a")],
             warmth: Warmth::Warm,
         },
         Case {
             name: "one straggler is not a cold start",
-            events: &[Instance("a"), Replies(12, 9), Replies(1, 500)],
+            events: &[Instance("a"), Replies(16, 9), Replies(1, 500)],
             warmth: Warmth::Warm,
         },
         Case {
             name: "a latency jump is",
-            events: &[Instance("a"), Replies(12, 9), Replies(4, 35)],
+            events: &[Instance("a"), Replies(16, 9), Replies(4, 35)],
+            warmth: Warmth::Cold,
+        },
+        Case {
+            name: "fast replies between cancelled ones prove nothing",
+            events: &[
+                Instance("a"),
+                Replies(5, 9),
+                Cancelled(2, 12),
+                Replies(5, 9),
+                Cancelled(2, 12),
+                Replies(5, 9),
+            ],
             warmth: Warmth::Cold,
         },
         Case {
             name: "shedding is",
-            events: &[Instance("a"), Replies(12, 9), Shed],
+            events: &[Instance("a"), Replies(16, 9), Shed],
             warmth: Warmth::Cold,
         },
         Case {
             name: "nothing known",
-            events: &[Instance("a"), Replies(12, 9), Forget, Instance("a")],
+            events: &[Instance("a"), Replies(16, 9), Forget, Instance("a")],
             warmth: Warmth::Cold,
         },
     ];
@@ -85,6 +98,11 @@
                         temperature.on_reply(Duration::from_millis(*took_ms), &LIMITS);
                     }
                 }
+                Cancelled(count, after_ms) => {
+                    for _ in 0..*count {
+                        temperature.on_cancelled(Duration::from_millis(*after_ms), &LIMITS);
+                    }
+                }
                 Shed => temperature.on_shed(),
                 Forget => temperature.forget(),
             }
--- a/src/request/coordinator.rs
+++ b/src/request/coordinator.rs
@@ -18,7 +18,7 @@
 use crate::connection::peer_pool::CallError;
 use crate::ids::{HostId, ServerId, ServiceId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::process::batches::Batches;
+use crate::process::batches::{Batches, COLLECT_WAIT};
 use crate::process::budget::Budget;
 use crate::process::context::Context;
 use crate::process::hints::Hints;
@@ -31,12 +31,12 @@
 const REPLY_SHARE: u32 = 10;
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(10);
 /// Extra attempts for each thousand first ones; together they stay within 5%.
-const HEDGE_PERMILLE: u64 = 25;
+const HEDGE_PERMILLE: u64 = 30;
 const RETRY_PERMILLE: u64 = 20;
 const HEDGE_BURST: u64 = 20;
 const RETRY_BURST: u64 = 100;
 /// The quantile of shard latency after which a shard counts as late.
-const LATE_QUANTILE: f64 = 0.97;
+const LATE_QUANTILE: f64 = 0.985;
 /// The hedge delay is between these many times the usual time.
 const MIN_HEDGE_FACTOR: u32 = 2;
 const MAX_HEDGE_FACTOR: u32 = 5;
@@ -49,9 +49,10 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(10);
 /// How much longer than its deadline a call between hosts is awaited.
 const CALL_GRACE: Duration = Duration::from_millis(10);
+/// How much later than expected an owner may answer before work goes elsewhere.
+const LATE_ALLOWANCE: Duration = Duration::from_millis(50);
 /// How long to wait before looking for a keeper again.
-const KEEPER_RETRY: Duration = Duration::from_millis(30);
-const KEEPER_TRIES: usize = 3;
+const KEEPER_RETRY: Duration = Duration::from_millis(50);
 
 #[derive(Debug)]
 struct Budgets {
@@ -71,6 +72,7 @@
 }
 
 enum Event {
+    Late { items: Vec<BatchItem> },
     Part { sent_at: Monotonic, part: Part },
     Failed { items: Vec<BatchItem>, outcome: Outcome<()> },
 }
@@ -195,55 +197,59 @@
 
     /// Sends a non-idempotent request to its keeper; nothing is repeated once it may have run.
     async fn submit(&self, query: Query, deadline: Monotonic) -> Outcome<Answer> {
-        let mut last = NotRunReason::NotOwner;
-        for attempt in 0..KEEPER_TRIES {
-            if self.context.clock.now() >= deadline {
-                return Outcome::NotRun(NotRunReason::DeadlineTooClose);
-            }
-            if attempt > 0 {
-                tokio::time::sleep(KEEPER_RETRY).await;
-            }
+        loop {
             let config = self.context.operational.load().config.clone();
             let Some(seat) = placement::keeper_seat(&config, &query.request_id) else {
                 return Outcome::NotRun(NotRunReason::NotReady);
             };
             let keeper = self.context.holder(&seat);
-            tracing::info!(
-                request = %query.request_id, service = %query.service, %seat, %keeper,
-                "sent to its keeper"
-            );
             let outcome = if keeper == self.context.me {
                 self.keeper.submit(query.clone(), deadline).await
             } else {
                 self.submit_to(&keeper, query.clone(), deadline).await
             };
-            match outcome {
+            tracing::info!(
+                request = %query.request_id, service = %query.service, %seat, %keeper,
+                not_run = outcome.is_not_run(), "sent to its keeper"
+            );
+            let moving = matches!(
+                outcome,
                 Outcome::NotRun(
-                    reason @ (NotRunReason::NotOwner
-                    | NotRunReason::Unreachable
-                    | NotRunReason::NotReady),
-                ) => last = reason,
-                other => return other,
+                    NotRunReason::NotOwner | NotRunReason::Unreachable | NotRunReason::NotReady
+                )
+            );
+            if !moving || self.context.clock.now() + KEEPER_RETRY >= deadline {
+                return outcome;
             }
+            tokio::time::sleep(KEEPER_RETRY).await;
         }
-        Outcome::NotRun(last)
     }
 
     async fn submit_to(&self, host: &HostId, query: Query, deadline: Monotonic) -> Outcome<Answer> {
         let unreachable = Outcome::NotRun(NotRunReason::Unreachable);
+        if self.context.is_suspect(host) {
+            return unreachable;
+        }
         let Some(to) = self.context.address(host) else {
             return unreachable;
         };
         let Some(deadline_us) = self.context.peers.deadline_at(&to, deadline).await else {
             return unreachable;
         };
-        let timeout = deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
+        let sent_at = self.context.clock.now();
+        let timeout = deadline.saturating_sub(sent_at) + CALL_GRACE;
         let order = Order { query, deadline_us };
         let call = |client: PeerClient, ctx| async move { client.submit(ctx, order).await };
         match self.context.peers.call(&to, timeout, call).await {
-            Ok(outcome) => outcome,
+            Ok(outcome) => {
+                self.context.heard(host);
+                outcome
+            }
             Err(CallError::NotSent) => unreachable,
-            Err(CallError::Lost) => Outcome::Unknown(UnknownReason::ConnectionLost),
+            Err(CallError::Lost) => {
+                self.context.late(host, sent_at);
+                Outcome::Unknown(UnknownReason::ConnectionLost)
+            }
         }
     }
 }
@@ -309,6 +315,10 @@
     fn on_event(&mut self, event: Event) {
         let now = self.now();
         let (part, reported) = match event {
+            Event::Late { items } => {
+                self.fail_over(now, &items);
+                return;
+            }
             Event::Part { sent_at, part } => {
                 self.record_latencies(now.saturating_sub(sent_at), &part);
                 (part, true)
@@ -369,6 +379,22 @@
         }
     }
 
+    /// Asks the shards of a host that does not answer again at other hosts.
+    fn fail_over(&mut self, now: Monotonic, items: &[BatchItem]) {
+        for item in items {
+            let waiting = !self.gather.is_answered(item.shard);
+            if waiting && self.gather.tried(item.shard).len() == 1 && self.spend_retry(now) {
+                self.retries.push((now, item.shard));
+            }
+        }
+    }
+
+    /// Takes one retry out of the budget, where there is one.
+    fn spend_retry(&self, now: Monotonic) -> bool {
+        !self.coordinator.context.policy.retry_budget
+            || self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now))
+    }
+
     /// Plans the next attempt at a shard, if its failure and the budget allow one.
     fn plan_retry(&mut self, now: Monotonic, shard: ShardId) {
         let tried = self.gather.tried(shard).len();
@@ -384,11 +410,8 @@
         if hopeless || tried >= MAX_ATTEMPTS {
             return;
         }
-        if touched && self.coordinator.context.policy.retry_budget {
-            let spent = self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now));
-            if !spent {
-                return;
-            }
+        if touched && !self.spend_retry(now) {
+            return;
         }
         let replicas = self.shards.get(&shard).map_or(0, |s| s.servers.len());
         let rounds = u32::try_from(tried / replicas.max(1)).unwrap_or(u32::MAX);
@@ -434,12 +457,18 @@
         let tried = self.gather.tried(shard);
         let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
         let candidate = |server: &Server| {
-            let open = newest.gate(&server.id).is_ok();
+            let open = self.is_open(&newest, &server.id);
             hints.candidate(now, &server.id, typical, open, tried.contains(&server.id))
         };
         servers.iter().map(candidate).collect()
     }
 
+    /// Tells whether a server may get work and its owner answers.
+    fn is_open(&self, newest: &Operational, server: &ServerId) -> bool {
+        let context = &self.coordinator.context;
+        newest.gate(server).is_ok_and(|entry| !context.is_suspect(&context.holder(&entry.seat)))
+    }
+
     /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
     fn send(&mut self, shards: &[ShardId], kind: &'static str) {
         let two_choices = self.coordinator.context.policy.two_choices;
@@ -594,17 +623,44 @@
         let deadline_us =
             self.context.peers.deadline_at(&to, self.deadline).await.ok_or(CallError::NotSent)?;
         batch.deadline_us = deadline_us;
+        let flush = Duration::from_millis(batch.flush_ms);
         let timeout = || self.deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
         let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
-        let mut part = self.context.peers.call(&to, timeout(), call).await?;
+        let allowed = flush + LATE_ALLOWANCE;
+        let first = self.context.peers.call(&to, timeout(), call);
+        let mut part = self.watch(first, allowed, left).await?;
         while self.report(part, left) {
             let call = |client: PeerClient, ctx| async move { client.collect(ctx, id).await };
-            part =
-                self.context.peers.call(&to, timeout(), call).await.map_err(|_| CallError::Lost)?;
+            let next = self.context.peers.call(&to, timeout(), call);
+            let next = self.watch(next, COLLECT_WAIT + LATE_ALLOWANCE, left).await;
+            part = next.map_err(|_| CallError::Lost)?;
         }
         Ok(())
     }
 
+    /// Awaits a call; says so when the owner has not answered in the time allowed.
+    async fn watch(
+        &self,
+        call: impl Future<Output = Result<Part, CallError>>,
+        allowed: Duration,
+        left: &[BatchItem],
+    ) -> Result<Part, CallError> {
+        let sent_at = self.context.clock.now();
+        let mut call = std::pin::pin!(call);
+        let result = match tokio::time::timeout(allowed, call.as_mut()).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.context.late(&self.owner, sent_at);
+                let _ = self.events.send(Event::Late { items: left.to_vec() });
+                call.await
+            }
+        };
+        if result.is_ok() {
+            self.context.heard(&self.owner);
+        }
+        result
+    }
+
     /// Hands a part on; returns whether more is to come.
     fn report(&self, part: Part, left: &mut Vec<BatchItem>) -> bool {
         left.retain(|item| !part.ended.iter().any(|report| report.shard == item.shard));
--- a/src/request/keeper.rs
+++ b/src/request/keeper.rs
@@ -131,7 +131,10 @@
         let mut servers: Vec<(Duration, u32, Server)> = shard
             .into_iter()
             .flat_map(|s| &s.servers)
-            .filter(|server| newest.gate(&server.id).is_ok())
+            .filter(|server| {
+                let gate = newest.gate(&server.id);
+                gate.is_ok_and(|e| !self.context.is_suspect(&self.context.holder(&e.seat)))
+            })
             .map(|server| {
                 let known = hints.candidate(now, &server.id, typical, true, false);
                 let avoid = if known.usable { Duration::ZERO } else { typical * 100 };
