Fuzz the decisions against an oracle; show that it can fail

Cause: the promises had unit tests only. Change: the gate and the keeper's tenure become pure functions that the running host and the fuzzer share; a world of six hosts in virtual time with cuts, pauses, crashes, drift, loss, late and repeated replies; an oracle; nine deliberate faults. Seen on the way: three failures of the model (replies delivered to a later life; a domain judged by a version that nobody had; knowledge on one side of a cut), each corrected where the trace showed that the system allows the case. CoverageCountsTwice was replaced by CoverageAssumed: the merge drops equal rows, so the fault broke nothing.

--- a/src/connection/backend.rs
+++ b/src/connection/backend.rs
@@ -13,6 +13,7 @@
 use super::http_client::{Body, connect_over, get_request, json_request, read_body};
 use crate::clock::{Clock, Monotonic};
 use crate::derive::{data, key};
+use crate::flaw::flawed;
 use crate::ids::{AttemptId, IndexVersion, InstanceId, RequestId, ServiceId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::request::query::Row;
@@ -200,7 +201,7 @@
 }
 
 /// Accepts a reply only where it is whole and answers this very request.
-fn verify(request: &RunRequest, status: StatusCode, bytes: &[u8]) -> Outcome<Vec<Row>> {
+pub(crate) fn verify(request: &RunRequest, status: StatusCode, bytes: &[u8]) -> Outcome<Vec<Row>> {
     let bad = Outcome::Unknown(UnknownReason::BadReply);
     if status != StatusCode::OK {
         return match serde_json::from_slice::<Refusal>(bytes) {
@@ -217,7 +218,7 @@
     };
     let own = reply.attempt == request.attempt
         && reply.shard == request.shard
-        && reply.index_version == request.index_version
+        && (reply.index_version == request.index_version || flawed!(VersionUnchecked))
         && reply.rows.len() <= request.limit as usize
         && reply.rows.iter().all(|row| row.shard == request.shard);
     if own { Outcome::Answered(reply.rows) } else { bad }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 mod derive;
 mod error;
+mod flaw;
 pub mod ids;
 pub mod measure;
 mod outcome;
@@ -15,6 +16,8 @@
 pub mod process;
 pub mod request;
 pub mod standin;
+#[cfg(test)]
+mod stateful;
 pub mod version;
 
 pub use error::{Error, Result};
--- a/src/process/config_store.rs
+++ b/src/process/config_store.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::error::{Error, Result};
+use crate::flaw::flawed;
 use crate::version::check::check;
 use crate::version::config::Config;
 
@@ -45,7 +46,7 @@
         if offered.fleet.deployment != self.current.fleet.deployment {
             return Err(refused("it belongs to another deployment"));
         }
-        if offered.version < self.current.version {
+        if offered.version < self.current.version && !flawed!(ConfigReverts) {
             return Ok(false);
         }
         if offered.version == self.current.version {
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -6,10 +6,10 @@
 use arc_swap::ArcSwap;
 use tokio_util::sync::CancellationToken;
 
+use super::gate::Standing;
 use super::membership::LeaseView;
 use super::metrics::Metrics;
 use super::pause::PauseGuard;
-use super::permission::Role;
 use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::links::Links;
@@ -46,20 +46,15 @@
 }
 
 impl Context {
-    /// Returns what this host is to a seat now.
-    pub(crate) fn role(&self, seat: &HostId) -> Role {
-        if !self.policy.owners {
-            return Role::Holder;
-        }
-        self.leases.load().role(self.clock.now(), &self.me, seat)
-    }
-
-    /// Returns until when this host may send as the holder of a seat.
-    pub(crate) fn held_until(&self, seat: &HostId) -> Option<Monotonic> {
-        if !self.policy.owners {
-            return Some(Monotonic::MAX);
-        }
-        self.leases.load().held.get(seat).map(|held| held.until)
+    /// Decides with the newest operational state and leases at this moment.
+    pub(crate) fn with_standing<T>(&self, decide: impl FnOnce(Standing) -> T) -> T {
+        decide(Standing {
+            now: self.clock.now(),
+            me: &self.me,
+            operational: &self.operational.load(),
+            leases: &self.leases.load(),
+            owners: self.policy.owners,
+        })
     }
 
     /// Returns the host to ask for a seat's servers: its holder as far as known, else the best
--- a/src/process/lease.rs
+++ b/src/process/lease.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Monotonic;
 use crate::derive::data;
+use crate::flaw::flawed;
 use crate::ids::{HostId, Incarnation};
 use crate::version::placement::{HostList, majority};
 
@@ -105,7 +106,7 @@
             return ClaimReply::Granted { epoch, wanted: false };
         };
         let same = promise.holder == claim.claimant && promise.incarnation == claim.incarnation;
-        if !same && now < promise.until {
+        if !same && now < promise.until && !flawed!(WitnessForgets) {
             if claim.claimant == claim.seat {
                 promise.wanted_at = Some(now);
             }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod config_store;
 pub(crate) mod config_watch;
 pub(crate) mod context;
+pub mod gate;
 pub mod gossip;
 pub mod hints;
 pub mod host;
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -11,7 +11,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::Context;
-use super::permission::{Role, Warmth, allowance};
+use super::gate::{Permit, Standing};
+use super::permission::Warmth;
 use super::server_queue::{ServerQueue, Ticket};
 use super::temperature::Temperature;
 use crate::clock::{Monotonic, micros, millis};
@@ -80,14 +81,6 @@
     draining_until: Monotonic,
 }
 
-/// What the gate grants.
-struct Permit {
-    entry: ServerEntry,
-    allowance: u32,
-    valid_until: Monotonic,
-    warm: bool,
-}
-
 /// The owned servers of a host.
 #[derive(Debug)]
 pub(crate) struct Owner {
@@ -215,29 +208,12 @@
         }
     }
 
-    /// The gate: what may be in flight at a server now, and until when it may be sent.
+    /// Asks the gate what may be in flight at a server now, and until when it may be sent.
     fn permit(&self, server: &OwnedServer, state: &State) -> Result<Permit, NotRunReason> {
-        let operational = self.context.operational.load();
-        let entry = operational.gate(&server.id)?;
-        let now = self.context.clock.now();
-        if now < state.draining_until {
-            return Err(NotRunReason::Draining);
-        }
-        let role = self.context.role(&entry.seat);
-        let held_until = self.context.held_until(&entry.seat);
         let warmth =
             if self.context.policy.cold_ramp { state.temperature.warmth() } else { Warmth::Warm };
-        let valid_until = match role {
-            Role::Holder => held_until.unwrap_or(now),
-            Role::OwnerWithoutLease => Monotonic::MAX,
-            Role::Other => return Err(NotRunReason::NotOwner),
-        };
-        Ok(Permit {
-            allowance: allowance(role, warmth, &entry.limits),
-            entry: entry.clone(),
-            valid_until,
-            warm: warmth == Warmth::Warm,
-        })
+        let decide = |standing: Standing| standing.permit(&server.id, warmth, state.draining_until);
+        self.context.with_standing(decide)
     }
 
     /// Sends as much as the gate grants; refuses what waits where it grants nothing.
--- a/src/process/permission.rs
+++ b/src/process/permission.rs
@@ -4,6 +4,7 @@
 //! cold-start limit; see `docs/MEMBERSHIP.md`, section "Permissions".
 
 use crate::derive::key;
+use crate::flaw::flawed;
 use crate::version::config::ServerLimits;
 
 key! {
@@ -33,6 +34,7 @@
     let reserve = u32::from(limits.cold_start_limit >= 2);
     let cold = limits.cold_start_limit - reserve;
     match (role, warmth) {
+        (Role::OwnerWithoutLease, _) if flawed!(OwnerIgnoresCold) => limits.slots,
         (Role::Holder, Warmth::Warm) => limits.slots,
         (Role::Holder, Warmth::Ramping(trusted)) => trusted.clamp(cold, limits.slots),
         (Role::Holder, Warmth::Cold) => cold,
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::clock::Monotonic;
+use crate::flaw::flawed;
 use crate::ids::RequestId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 
@@ -60,7 +61,7 @@
             }
             Some(Entry::Running) => Begin::Reply(Outcome::Unknown(UnknownReason::StillRunning)),
             Some(Entry::Ended(outcome)) => Begin::Reply(outcome.clone()),
-            None if resend && now < complete_since + self.keep => {
+            None if resend && now < complete_since + self.keep && !flawed!(RecordForgets) => {
                 Begin::Reply(Outcome::Unknown(UnknownReason::RecordLost))
             }
             None if full => Begin::Reply(Outcome::NotRun(NotRunReason::Overloaded)),
--- a/src/request/gather.rs
+++ b/src/request/gather.rs
@@ -8,6 +8,7 @@
 use super::coverage::Coverage;
 use super::query::{Answer, Row, merge_rows};
 use crate::connection::peer::Part;
+use crate::flaw::flawed;
 use crate::ids::{IndexVersion, ServerId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 
@@ -66,7 +67,7 @@
             if state.answered {
                 continue;
             }
-            if matches!(report.outcome, Outcome::Answered(())) {
+            if matches!(report.outcome, Outcome::Answered(())) || flawed!(CoverageAssumed) {
                 state.answered = true;
                 fresh.insert(report.shard);
             } else {
--- a/src/request/keeper.rs
+++ b/src/request/keeper.rs
@@ -16,10 +16,10 @@
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::batches::Batches;
 use crate::process::context::Context;
+use crate::process::gate::Tenure;
 use crate::process::hints::Hints;
 use crate::process::record::{Begin, Record};
 use crate::version::config::{Kind, Server, Service};
-use crate::version::placement;
 
 /// The most requests remembered.
 const RECORD_CAPACITY: usize = 50_000;
@@ -53,7 +53,7 @@
         query: Query,
         deadline: Monotonic,
     ) -> Outcome<Answer> {
-        let (seat_since, valid_until) = match self.tenure(&query) {
+        let tenure = match self.tenure(&query) {
             Ok(tenure) => tenure,
             Err(reason) => return Outcome::NotRun(reason),
         };
@@ -65,7 +65,7 @@
             now,
             &query.request_id,
             query.resend,
-            seat_since,
+            tenure.since,
         );
         if let Begin::Reply(outcome) = begin {
             tracing::info!(request = %query.request_id, "replayed from the record");
@@ -74,31 +74,20 @@
         let keeper = self.clone();
         let run = tokio::spawn(async move {
             let id = query.request_id.clone();
-            let outcome = keeper.place(query, deadline.min(valid_until)).await;
+            let outcome = keeper.place(query, deadline.min(tenure.until)).await;
             keeper.record.lock().expect("no holder of the lock panics").end(&id, &outcome);
             outcome
         });
         run.await.unwrap_or(Outcome::Unknown(UnknownReason::ConnectionLost))
     }
 
-    /// Returns since when this host has kept the request's record, and until when it may act.
-    fn tenure(&self, query: &Query) -> Result<(Monotonic, Monotonic), NotRunReason> {
+    /// Returns this host's right to start a request.
+    fn tenure(&self, query: &Query) -> Result<Tenure, NotRunReason> {
         if self.context.must_wait() {
             return Err(NotRunReason::NotReady);
         }
-        if !self.context.policy.owners {
-            return Ok((Monotonic::ZERO, Monotonic::MAX));
-        }
-        let config = self.context.operational.load().config.clone();
-        let seat =
-            placement::keeper_seat(&config, &query.request_id).ok_or(NotRunReason::NotReady)?;
-        let leases = self.context.leases.load();
-        let held = leases.held.get(&seat).ok_or(NotRunReason::NotOwner)?;
-        if self.context.clock.now() >= held.until {
-            return Err(NotRunReason::NotOwner);
-        }
-        let placed = *self.context.placed_at.lock().expect("no holder of the lock panics");
-        Ok((held.since.max(placed), held.until))
+        let placed_at = *self.context.placed_at.lock().expect("no holder of the lock panics");
+        self.context.with_standing(|standing| standing.tenure(&query.request_id, placed_at))
     }
 
     /// Tries replicas in turn while it is certain that the request did not run.
--- /dev/null
+++ b/src/stateful/mod.rs
@@ -0,0 +1,7 @@
+//! Stateful fuzzing: the real decision code in a world of messages, against a simple oracle.
+
+pub(crate) mod flaw;
+mod op;
+mod oracle;
+mod tests;
+mod world;
