Make membership's cost independent of the number of hosts

Cause: at 430 hosts nearly every host heard nearly no other one, so each took every seat for silent and claimed it (237 messages and 29 KB a second a host, 7% of a core); rankings were computed at every claim.

--- a/src/measure/capacity.rs
+++ b/src/measure/capacity.rs
@@ -17,9 +17,17 @@
 use crate::version::operational::Operational;
 use crate::version::questionnaire::Questionnaire;
 
-const SIZES: [usize; 4] = [8, 54, 215, 430];
-/// The time that each size is driven for.
-const DRIVEN: Duration = Duration::from_secs(10);
+/// Numbers of hosts, with the heartbeat and lease of each.
+const SIZES: [(usize, u64, u64); 5] = [
+    (8, 250, 1_500),
+    (54, 250, 1_500),
+    (54, 1_000, 6_000),
+    (215, 1_000, 6_000),
+    (430, 1_000, 6_000),
+];
+/// The time until the seats are taken, and the time measured after it.
+const SETTLING: Duration = Duration::from_secs(15);
+const DRIVEN: Duration = Duration::from_secs(15);
 /// Replicas at the target size, and shards of a wide service.
 const TARGET_REPLICAS: u32 = 2_900;
 const TARGET_SHARDS: u32 = 1_400;
@@ -31,14 +39,21 @@
 /// Runs all sizes and writes a table.
 pub fn table() -> String {
     let mut text = format!(
-        "{:>6} {:>12} {:>12} {:>10} {:>10} {:>13} {:>13}\n",
-        "hosts", "messages/s", "bytes/s", "us/tick", "% of core", "snapshot us", "config KiB"
+        "{:>6} {:>12} {:>12} {:>12} {:>10} {:>10} {:>13} {:>13}\n",
+        "hosts",
+        "heartbeat ms",
+        "messages/s",
+        "bytes/s",
+        "us/tick",
+        "% of core",
+        "snapshot us",
+        "config KiB"
     );
-    for hosts in SIZES {
-        let cost = measure(hosts);
+    for (hosts, heartbeat_ms, lease_ms) in SIZES {
+        let cost = measure(hosts, heartbeat_ms, lease_ms);
         writeln!(
             text,
-            "{hosts:>6} {:>12.1} {:>12.0} {:>10.1} {:>10.3} {:>13.0} {:>13.1}",
+            "{hosts:>6} {heartbeat_ms:>12} {:>12.1} {:>12.0} {:>10.1} {:>10.3} {:>13.0} {:>13.1}",
             cost.messages_s,
             cost.bytes_s,
             cost.tick_us,
@@ -61,8 +76,8 @@
 }
 
 /// Drives one host fully and all others as far as they answer it.
-fn measure(hosts: usize) -> Cost {
-    let config = Arc::new(config(hosts));
+fn measure(hosts: usize, heartbeat_ms: u64, lease_ms: u64) -> Cost {
+    let config = Arc::new(config(hosts, heartbeat_ms, lease_ms));
     let started = Instant::now();
     let operational = Arc::new(Operational::new(config.clone(), &HashSet::new()));
     let snapshot_us = started.elapsed().as_secs_f64() * 1e6;
@@ -76,8 +91,11 @@
     let mut now = Monotonic::ZERO;
     let (mut messages, mut bytes) = (0_u64, 0_u64);
     let mut busy = Duration::ZERO;
-    while now < DRIVEN {
+    while now < SETTLING + DRIVEN {
         now += TICK;
+        if now == SETTLING {
+            (messages, bytes, busy) = (0, 0, Duration::ZERO);
+        }
         for n in 0..members.len() {
             let began = Instant::now();
             let actions = members[n].tick(now, 0, |_| 0, &mut rng);
@@ -152,10 +170,12 @@
 }
 
 /// Returns a configuration of the target's shape with a number of hosts.
-fn config(hosts: usize) -> Config {
+fn config(hosts: usize, heartbeat_ms: u64, lease_ms: u64) -> Config {
     let text = include_str!("../../examples/answers/tarlac.toml");
     let mut answers = Questionnaire::from_toml(text).expect("the shipped answers can be read");
     answers.entry_hosts.count = hosts;
+    answers.heartbeat_ms = heartbeat_ms;
+    answers.lease_ms = lease_ms;
     answers.domains = (1..=7).map(|n| format!("domain-{n}").into()).collect();
     answers.services.truncate(1);
     answers.services[0].shards = TARGET_SHARDS;
--- a/src/process/config_watch.rs
+++ b/src/process/config_watch.rs
@@ -20,7 +20,6 @@
 use crate::error::Result;
 use crate::ids::{HostId, ServerId};
 use crate::version::config::Config;
-use crate::version::operational::Operational;
 
 /// How long to wait after a failed call to the platform.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -51,8 +50,8 @@
     }
 
     async fn publish(&self) {
-        let operational = Operational::new(self.store.current().clone(), &self.leaving);
-        let operational = Arc::new(operational);
+        let current = self.store.current().clone();
+        let operational = Arc::new(self.context.operational.load().next(current, &self.leaving));
         let old = self.context.operational.swap(operational.clone());
         if old.config.fleet.hosts != operational.config.fleet.hosts {
             let now = self.context.clock.now();
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -16,8 +16,10 @@
 
 /// The most rumors in one message, which bounds its size.
 pub const MAX_RUMORS: usize = 16;
-/// How often a host renews its own rumor without a change.
-pub const REFRESH: Duration = Duration::from_secs(5);
+/// How often a host renews its own rumor without a change: at least this, and this for each host,
+/// so that renewals fit into the messages.
+const MIN_REFRESH: Duration = Duration::from_secs(5);
+const REFRESH_PER_HOST: Duration = Duration::from_millis(50);
 
 data! {
     /// What a host says of itself.
@@ -191,7 +193,7 @@
         holds: SmallVec<[HeldSeat; 2]>,
     ) -> bool {
         let changed = self.own.leaving != leaving || self.own.holds != holds;
-        if changed || now >= self.renewed_at + REFRESH {
+        if changed || now >= self.renewed_at + self.refresh() {
             self.own.seq += 1;
             self.own.leaving = leaving;
             self.own.load = load;
@@ -262,6 +264,22 @@
         others.map(|known| (&known.rumor, known.received_at))
     }
 
+    /// Returns how often rumors are renewed at the number of hosts known.
+    pub fn refresh(&self) -> Duration {
+        let hosts = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
+        MIN_REFRESH.max(REFRESH_PER_HOST * hosts)
+    }
+
+    /// Returns when a host's newest rumor was learnt.
+    pub fn learnt_at(&self, host: &HostId) -> Option<Monotonic> {
+        self.known.get(host).map(|known| known.received_at)
+    }
+
+    /// Tells whether a host says that it leaves.
+    pub fn is_leaving(&self, host: &HostId) -> bool {
+        self.known.get(host).is_some_and(|known| known.rumor.leaving)
+    }
+
     /// Returns what this host says of itself.
     pub const fn own(&self) -> &HostRumor {
         &self.own
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -16,12 +16,15 @@
 use crate::clock::Monotonic;
 use crate::ids::{HostId, Incarnation};
 use crate::version::operational::Operational;
-use crate::version::placement;
 
 /// How long a change of witnesses takes to be known everywhere.
 const SETTLE: Duration = Duration::from_secs(8);
 /// Standbys that hear a seat's heartbeats beside its witnesses.
-const LISTENING_STANDBYS: usize = 2;
+const LISTENING_STANDBYS: usize = 3;
+/// How often a gossip message may be sent.
+const GOSSIP_EVERY: Duration = Duration::from_millis(250);
+/// A host that is known by gossip only is live for this many renewals of its rumor.
+const LIVE_RENEWALS: u32 = 3;
 
 /// A message to send to another host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,9 +81,12 @@
     witness: Witness,
     seats: BTreeMap<HostId, SeatLease>,
     heard: HashMap<HostId, Monotonic>,
+    /// When a claim for each seat whose heartbeats reach this host was last heard.
+    claimed: HashMap<HostId, Monotonic>,
     gossip: Gossip<S>,
     leaving: bool,
     next_heartbeat: Monotonic,
+    next_gossip: Monotonic,
 }
 
 impl<S: SendStrategy> Membership<S> {
@@ -98,6 +104,8 @@
             witness: Witness::new(now, lease),
             seats: BTreeMap::new(),
             heard: HashMap::new(),
+            claimed: HashMap::new(),
+            next_gossip: now,
             leaving: false,
             next_heartbeat: now,
             me,
@@ -111,19 +119,14 @@
     /// Takes a new configuration.
     pub fn adopt(&mut self, now: Monotonic, operational: Arc<Operational>) {
         let old = std::mem::replace(&mut self.operational, operational);
-        let config = &self.operational.config;
-        let watched = |config| {
-            let hosts = &old.config.fleet.hosts;
-            hosts.iter().any(|h| placement::witnesses(config, &h.id).contains(&self.me))
-        };
-        let changed = config.fleet.hosts.iter().any(|host| {
-            placement::witnesses(&old.config, &host.id) != placement::witnesses(config, &host.id)
-        });
-        if changed && watched(config) {
-            self.witness.abstain(now, config.fleet.timing.lease());
+        let new = self.operational.clone();
+        let hosts = || new.config.fleet.hosts.iter().map(|host| &host.id);
+        let moved = |id: &&HostId| old.witnesses(id) != new.witnesses(id);
+        if hosts().filter(moved).any(|id| new.witnesses(id).contains(&self.me)) {
+            self.witness.abstain(now, new.config.fleet.timing.lease());
         }
         for (seat, lease) in &mut self.seats {
-            lease.set_witnesses(placement::witnesses(config, seat), now + SETTLE);
+            lease.set_witnesses(new.witnesses(seat).into(), now + SETTLE);
         }
         self.set_config(now);
     }
@@ -145,6 +148,9 @@
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + self.operational.config.fleet.timing.heartbeat();
             self.heartbeat(now, in_flight, &mut actions);
+        }
+        if now >= self.next_gossip {
+            self.next_gossip = now + GOSSIP_EVERY;
             let sends = self.gossip.tick(rng);
             self.push(sends, rng, &mut actions);
         }
@@ -157,8 +163,10 @@
     /// Answers a claim as a witness.
     pub fn on_claim(&mut self, now: Monotonic, claim: &Claim) -> ClaimReply {
         self.hear(now, &claim.claimant);
-        let witnesses = placement::witnesses(&self.operational.config, &claim.seat);
-        if !witnesses.contains(&self.me) {
+        if let Some(at) = self.claimed.get_mut(&claim.seat) {
+            *at = now;
+        }
+        if !self.operational.witnesses(&claim.seat).contains(&self.me) {
             return ClaimReply::NotWitness;
         }
         self.witness.on_claim(now, claim)
@@ -228,7 +236,7 @@
         hosts
             .iter()
             .filter(|host| {
-                host.id != self.me && self.is_in(&host.id) && !self.silent(now, &host.id)
+                host.id != self.me && self.is_in(&host.id) && self.is_live(now, &host.id)
             })
             .map(|host| (host.id.clone(), loads.get(&host.id).copied().unwrap_or(0)))
             .collect()
@@ -238,7 +246,8 @@
     fn holders(&self, now: Monotonic) -> HashMap<HostId, HostId> {
         let mut best: HashMap<HostId, (u64, HostId)> = HashMap::new();
         let heard = self.gossip.rumors().map(|(rumor, _)| rumor);
-        for rumor in heard.filter(|r| !self.silent(now, &r.host)).chain([self.gossip.own()]) {
+        let heard = heard.filter(|r| self.is_live(now, &r.host) && self.is_in(&r.host));
+        for rumor in heard.chain([self.gossip.own()]) {
             for held in &rumor.holds {
                 let entry = best.entry(held.seat.clone()).or_insert((0, rumor.host.clone()));
                 if held.epoch > entry.0 {
@@ -250,13 +259,18 @@
     }
 
     fn set_config(&mut self, now: Monotonic) {
-        let config = &self.operational.config;
+        let config = self.operational.config.clone();
         self.gossip.set_config(config.version, config.content_hash());
         for host in &config.fleet.hosts {
             self.heard.entry(host.id.clone()).or_insert(now);
         }
+        for host in &config.fleet.hosts {
+            if self.listens_to(&host.id) {
+                self.claimed.entry(host.id.clone()).or_insert(now);
+            }
+        }
         if config.host(&self.me).is_some() && !self.seats.contains_key(&self.me) {
-            let witnesses = placement::witnesses(config, &self.me);
+            let witnesses = self.operational.witnesses(&self.me).into();
             let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
             self.seats.insert(self.me.clone(), lease);
         }
@@ -269,7 +283,6 @@
         actions: &mut Vec<Action>,
     ) {
         self.take_up_silent_seats(now);
-        let config = self.operational.config.clone();
         let unfit: HashSet<HostId> = self
             .seats
             .iter()
@@ -300,7 +313,7 @@
                 epoch: lease.epoch(),
             };
             let witnesses: SmallVec<[HostId; 8]> = lease.witnesses().cloned().collect();
-            let standbys = placement::candidates(&config, seat);
+            let standbys = self.operational.candidates(seat);
             let listeners = standbys.iter().skip(1).take(LISTENING_STANDBYS);
             let listeners = listeners.filter(|h| **h != self.me && !witnesses.contains(*h));
             for host in witnesses.iter().chain(listeners) {
@@ -315,24 +328,50 @@
         }
     }
 
-    /// Claims each seat whose better-ranked candidates are all out, leaving or silent.
+    /// Claims each seat that nobody claims any more, once the better candidates had their time.
     fn take_up_silent_seats(&mut self, now: Monotonic) {
         if !self.is_in(&self.me) {
             return;
         }
-        let config = self.operational.config.clone();
-        for host in &config.fleet.hosts {
-            let seat = &host.id;
-            if self.seats.contains_key(seat) {
-                continue;
-            }
-            let better = self.operational.candidates(seat).iter().take_while(|c| **c != self.me);
-            if better.into_iter().all(|c| !self.is_in(c) || self.silent(now, c)) {
-                let witnesses = placement::witnesses(&config, seat);
-                let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
-                self.seats.insert(seat.clone(), lease);
-            }
+        let lease = self.operational.config.fleet.timing.lease();
+        let due: Vec<HostId> = self
+            .claimed
+            .iter()
+            .filter(|(seat, _)| !self.seats.contains_key(*seat))
+            .filter(|(seat, claimed_at)| {
+                let wait = self.turn(seat).map(|turn| take_up_wait(lease, turn));
+                wait.is_some_and(|wait| now > **claimed_at + wait)
+            })
+            .map(|(seat, _)| seat.clone())
+            .collect();
+        for seat in due {
+            let witnesses = self.operational.witnesses(&seat).into();
+            self.seats.insert(seat, SeatLease::new(lease, witnesses));
+        }
+    }
+
+    /// Returns how many candidates for a seat that take part come before this host.
+    fn turn(&self, seat: &HostId) -> Option<u32> {
+        let candidates = self.operational.candidates(seat);
+        let place = candidates.iter().position(|c| *c == self.me)?;
+        let better = candidates[..place].iter().filter(|c| self.is_in(c)).count();
+        u32::try_from(better).ok()
+    }
+
+    /// Tells whether the heartbeats of a seat reach this host.
+    fn listens_to(&self, seat: &HostId) -> bool {
+        let standbys = self.operational.candidates(seat).iter().skip(1).take(LISTENING_STANDBYS);
+        self.operational.witnesses(seat).iter().chain(standbys).any(|host| *host == self.me)
+    }
+
+    /// Tells whether a host was heard of lately: by its heartbeats where they come here, else by
+    /// its rumor.
+    fn is_live(&self, now: Monotonic, host: &HostId) -> bool {
+        if self.claimed.contains_key(host) || !self.silent(now, host) {
+            return !self.silent(now, host);
         }
+        let limit = self.gossip.refresh() * LIVE_RENEWALS;
+        self.gossip.learnt_at(host).is_some_and(|at| now <= at + limit)
     }
 
     fn must_let_go(&self, seat: &HostId, lease: &SeatLease) -> bool {
@@ -348,11 +387,7 @@
             .config
             .host(host)
             .is_some_and(|host| self.operational.host_is_in(host));
-        let leaving = if *host == self.me {
-            self.leaving
-        } else {
-            self.gossip.rumors().any(|(rumor, _)| rumor.host == *host && rumor.leaving)
-        };
+        let leaving = if *host == self.me { self.leaving } else { self.gossip.is_leaving(host) };
         allowed && !leaving
     }
 
@@ -386,5 +421,13 @@
     }
 }
 
+/// Returns how long a seat must be without a claim before the candidate whose turn it is takes it.
+fn take_up_wait(lease: Duration, turn: u32) -> Duration {
+    match turn {
+        0 => Duration::ZERO,
+        later => lease + lease / 2 * (later - 1),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/process/membership_actor.rs
+++ b/src/process/membership_actor.rs
@@ -27,7 +27,7 @@
 /// How long a call to a witness may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The token account of the gossip; see `docs/GOSSIP.md`.
-pub(crate) const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 2, capacity: 6 };
+pub(crate) const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 5, capacity: 10 };
 
 /// The actor.
 #[derive(Actor)]
--- a/src/stateful/world.rs
+++ b/src/stateful/world.rs
@@ -57,7 +57,7 @@
 const WARM_UP_QUERIES: u8 = 48;
 const WARM_UP_EVERY: Duration = Duration::from_millis(60);
 const RECORD_KEEP: Duration = Duration::from_secs(600);
-const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 2, capacity: 6 };
+const GOSSIP: RandomizedTokens = RandomizedTokens { spend_divisor: 5, capacity: 10 };
 
 const ANSWERS: &str = r#"
 deployment = "fuzz"
@@ -665,7 +665,7 @@
         if current.fleet.hosts != node.operational.config.fleet.hosts {
             node.placed_at = now;
         }
-        node.operational = Arc::new(Operational::new(current.clone(), &HashSet::new()));
+        node.operational = Arc::new(node.operational.next(current.clone(), &HashSet::new()));
         node.membership.adopt(now, node.operational.clone());
         self.oracle.on_adopted(self.now, &current);
         self.publish(id);
--- a/src/version/operational.rs
+++ b/src/version/operational.rs
@@ -15,7 +15,14 @@
     /// The configuration in force.
     pub config: Arc<Config>,
     servers: HashMap<ServerId, ServerEntry>,
+    ranks: Arc<Ranks>,
+}
+
+/// The rankings of all seats, which depend on the hosts alone.
+#[derive(Debug)]
+struct Ranks {
     candidates: HashMap<HostId, placement::HostList>,
+    witnesses: HashMap<HostId, placement::HostList>,
 }
 
 /// What the dispatch gate knows of a backend server.
@@ -44,10 +51,27 @@
     ///
     /// The list can only close a server; it never opens one.
     pub fn new(config: Arc<Config>, leaving: &HashSet<ServerId>) -> Self {
+        let servers = Self::entries(&config, leaving);
+        let ranks = Arc::new(Ranks::new(&config));
+        Self { config, servers, ranks }
+    }
+
+    /// Derives the snapshot that follows this one; rankings are kept while the hosts are the same.
+    #[must_use]
+    pub fn next(&self, config: Arc<Config>, leaving: &HashSet<ServerId>) -> Self {
+        let same = |a: &Host, b: &Host| a.id == b.id && a.domain == b.domain;
+        let (old, new) = (&self.config.fleet.hosts, &config.fleet.hosts);
+        let unmoved = old.len() == new.len() && old.iter().zip(new).all(|(a, b)| same(a, b));
+        let servers = Self::entries(&config, leaving);
+        let ranks = if unmoved { self.ranks.clone() } else { Arc::new(Ranks::new(&config)) };
+        Self { config, servers, ranks }
+    }
+
+    fn entries(config: &Config, leaving: &HashSet<ServerId>) -> HashMap<ServerId, ServerEntry> {
         let mut servers = HashMap::new();
         for service in &config.services {
             for server in service.servers() {
-                let Some(seat) = placement::seat_of(&config, server) else {
+                let Some(seat) = placement::seat_of(config, server) else {
                     continue;
                 };
                 let out = config.domain(&server.domain).is_none_or(|domain| domain.out);
@@ -61,13 +85,7 @@
                 servers.insert(server.id.clone(), Self::entry(service, server, seat, closed));
             }
         }
-        let candidates = config
-            .fleet
-            .hosts
-            .iter()
-            .map(|host| (host.id.clone(), placement::candidates(&config, &host.id)))
-            .collect();
-        Self { config, servers, candidates }
+        servers
     }
 
     fn entry(
@@ -110,7 +128,12 @@
 
     /// Returns the hosts that may hold a seat, best first.
     pub fn candidates(&self, seat: &str) -> &[HostId] {
-        self.candidates.get(seat).map_or(&[], |list| list.as_slice())
+        self.ranks.candidates.get(seat).map_or(&[], |list| list.as_slice())
+    }
+
+    /// Returns the witnesses of a seat.
+    pub fn witnesses(&self, seat: &str) -> &[HostId] {
+        self.ranks.witnesses.get(seat).map_or(&[], |list| list.as_slice())
     }
 
     /// Tells whether operators let a host take part.
@@ -118,3 +141,13 @@
         !host.leaving && self.config.domain(&host.domain).is_some_and(|domain| !domain.out)
     }
 }
+
+impl Ranks {
+    fn new(config: &Config) -> Self {
+        let hosts = || config.fleet.hosts.iter().map(|host| &host.id);
+        let rank = |f: fn(&Config, &str) -> placement::HostList| {
+            hosts().map(|id| (id.clone(), f(config, id))).collect()
+        };
+        Self { candidates: rank(placement::candidates), witnesses: rank(placement::witnesses) }
+    }
+}
--- a/src/version/questionnaire.rs
+++ b/src/version/questionnaire.rs
@@ -28,6 +28,12 @@
         pub deployment: SmolStr,
         /// Which failure domains do you have?
         pub domains: Vec<DomainId>,
+        /// How often does a host renew its lease, in milliseconds?
+        #[serde(default = "default_heartbeat_ms")]
+        pub heartbeat_ms: u64,
+        /// How long does a lease last, in milliseconds?
+        #[serde(default = "default_lease_ms")]
+        pub lease_ms: u64,
         /// How many entry hosts are there, and where do they listen?
         pub entry_hosts: EntryHosts,
         /// Which query services do you want?
@@ -90,6 +96,14 @@
     }
 }
 
+const fn default_heartbeat_ms() -> u64 {
+    DEFAULT_HEARTBEAT_MS
+}
+
+const fn default_lease_ms() -> u64 {
+    DEFAULT_LEASE_MS
+}
+
 const fn default_row_limit() -> u32 {
     DEFAULT_ROW_LIMIT
 }
@@ -148,8 +162,8 @@
             })
             .collect();
         let timing = Timing {
-            heartbeat_ms: DEFAULT_HEARTBEAT_MS,
-            lease_ms: DEFAULT_LEASE_MS,
+            heartbeat_ms: self.heartbeat_ms,
+            lease_ms: self.lease_ms,
             address_lifetime_ms: DEFAULT_ADDRESS_LIFETIME_MS,
             leave_grace_ms: DEFAULT_LEAVE_GRACE_MS,
             record_ms: DEFAULT_RECORD_MS,
