--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -23,6 +23,8 @@
 const LISTENING_STANDBYS: usize = 3;
 /// How often a gossip message may be sent.
 const GOSSIP_EVERY: Duration = Duration::from_millis(250);
+/// How often the maps over all hosts are made anew for the request path.
+const MAPS_EVERY: Duration = Duration::from_millis(250);
 /// A host that is known by gossip only is live for this many renewals of its rumor.
 const LIVE_RENEWALS: u32 = 3;
 
@@ -43,9 +45,9 @@
     /// The seats that this host holds.
     pub held: HashMap<HostId, Held>,
     /// Who holds each seat, as far as known.
-    pub holders: HashMap<HostId, HostId>,
+    pub holders: Arc<HashMap<HostId, HostId>>,
     /// The other hosts that were heard of lately and are not leaving, with their load.
-    pub live: HashMap<HostId, u32>,
+    pub live: Arc<HashMap<HostId, u32>>,
     /// This host's own seat is being handed over or its domain is out.
     pub resigned: bool,
 }
@@ -87,6 +89,9 @@
     leaving: bool,
     next_heartbeat: Monotonic,
     next_gossip: Monotonic,
+    next_maps: Monotonic,
+    holders: Arc<HashMap<HostId, HostId>>,
+    live: Arc<HashMap<HostId, u32>>,
 }
 
 impl<S: SendStrategy> Membership<S> {
@@ -106,6 +111,9 @@
             heard: HashMap::new(),
             claimed: HashMap::new(),
             next_gossip: now,
+            next_maps: now,
+            holders: Arc::default(),
+            live: Arc::default(),
             leaving: false,
             next_heartbeat: now,
             me,
@@ -134,6 +142,7 @@
     /// Starts to leave: seats are released once nothing is in flight.
     pub const fn leave(&mut self) {
         self.leaving = true;
+        self.next_maps = Monotonic::ZERO;
     }
 
     /// Does what is due; `in_flight` tells how much is in flight at a seat's servers.
@@ -220,9 +229,14 @@
                 held.insert(seat.clone(), Held { until, since });
             }
         }
+        if now >= self.next_maps {
+            self.next_maps = now + MAPS_EVERY;
+            self.holders = Arc::new(self.holders(now));
+            self.live = Arc::new(self.live(now));
+        }
         LeaseView {
-            holders: self.holders(now),
-            live: self.live(now),
+            holders: self.holders.clone(),
+            live: self.live.clone(),
             resigned: !self.is_in(&self.me),
             held,
         }
@@ -260,7 +274,10 @@
 
     fn set_config(&mut self, now: Monotonic) {
         let config = self.operational.config.clone();
-        self.gossip.set_config(config.version, config.content_hash());
+        self.next_maps = now;
+        if self.gossip.config_version() != config.version {
+            self.gossip.set_config(config.version, config.content_hash());
+        }
         for host in &config.fleet.hosts {
             self.heard.entry(host.id.clone()).or_insert(now);
         }
