Refuse popped work that can't end in time; always try an idle server

Cause: a server whose average service time had risen above every deadline was refused for ever, since nothing sent meant no new average; and popped work was sent although it could not end in time. Change: an idle server is judged by the lower of the average and its usual time; popped work is refused where it no longer fits, unless it is alone. A test causes both.

--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -343,7 +343,8 @@
         let same_life = state.temperature.instance() == Some(connection.instance());
         let room = state.on_wire.len() < permit.allowance as usize;
         let wanted = !job.cancel.is_cancelled();
-        if !(same_life && room && wanted) || self.context.must_wait() {
+        let fits = state.queue.fits(self.context.clock.now(), job.deadline);
+        if !(same_life && room && wanted && fits) || self.context.must_wait() {
             return None;
         }
         state.on_wire.push(OnWire {
@@ -367,6 +368,9 @@
         let refused = match &permit {
             Err(reason) => Some(*reason),
             Ok(_) if job.cancel.is_cancelled() => Some(NotRunReason::Cancelled),
+            Ok(_) if !state.queue.fits(self.context.clock.now(), job.deadline) => {
+                Some(NotRunReason::DeadlineTooClose)
+            }
             Ok(_) => None,
         };
         if let Ok(permit) = permit {
--- a/src/process/server_queue.rs
+++ b/src/process/server_queue.rs
@@ -36,6 +36,7 @@
     entries: BTreeMap<Place, T>,
     next_seq: u64,
     in_flight: u32,
+    typical: Duration,
     service_time: Duration,
     admission: Admission,
 }
@@ -47,6 +48,7 @@
             entries: BTreeMap::new(),
             next_seq: 0,
             in_flight: 0,
+            typical,
             service_time: typical,
             admission,
         }
@@ -134,7 +136,19 @@
         self.wait((Priority::Low, Monotonic::MAX, u64::MAX), allowance)
     }
 
+    /// Tells whether popped work can still be expected to end in time.
+    ///
+    /// The only request at a server is sent in any case, for only a reply can show that a server
+    /// is no longer slow.
+    pub fn fits(&self, now: Monotonic, deadline: Monotonic) -> bool {
+        let alone = self.in_flight <= 1;
+        alone || self.admission == Admission::Always || now + self.service_time <= deadline
+    }
+
     fn wait(&self, place: Place, allowance: u32) -> Duration {
+        if self.in_flight == 0 && self.entries.is_empty() {
+            return self.service_time.min(self.typical);
+        }
         let ahead = self.entries.range(..place).count() + self.in_flight as usize;
         let rounds = ahead / allowance.max(1) as usize + 1;
         self.service_time * u32::try_from(rounds).unwrap_or(u32::MAX)
--- a/src/process/server_queue/tests.rs
+++ b/src/process/server_queue/tests.rs
@@ -86,3 +86,18 @@
     assert_eq!(queue.remove(ticket), Some("x"));
     assert!(queue.push(MS(0), Priority::High, MS(99), 2, "y").is_ok());
 }
+
+#[test]
+fn a_server_that_was_slow_is_tried_again_once_it_is_idle() {
+    let mut queue = queue(Admission::Early);
+    let slow = queue.push(MS(0), Priority::Normal, MS(400), 2, "slow");
+    assert!(slow.is_ok() && queue.pop(2).is_some());
+    for _ in 0..50 {
+        queue.finish(Some(MS(900)));
+    }
+    queue.push(MS(1_000), Priority::Normal, MS(1_400), 2, "probe").expect("an idle one is tried");
+    let refused = queue.push(MS(1_000), Priority::Normal, MS(1_400), 2, "second");
+    assert_eq!(refused, Err(NotRunReason::DeadlineTooClose));
+    assert!(queue.pop(2).is_some() && queue.fits(MS(1_000), MS(1_400)));
+    queue.finish(Some(MS(8)));
+}
