--- a/src/request/http.rs
+++ b/src/request/http.rs
@@ -17,6 +17,7 @@
 use rand::RngExt;
 use serde::Serialize;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -47,6 +48,10 @@
 const MAX_DEADLINE_MS: u64 = 600_000;
 /// When a refused caller may come back.
 const RETRY_AFTER_MS: u64 = 250;
+/// The reply to a connection beyond the limit.
+const TOO_MANY_CONNECTIONS: &str = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    content-type: application/json\r\ncontent-length: 75\r\nconnection: close\r\n\r\n\
+    {\"error\":\"too many connections; come back in a second\",\"outcome\":\"not_run\"}";
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 const ADDRESS_SEED: u64 = 0x6164_6472_6573_0001;
 
@@ -329,9 +334,10 @@
     }
 }
 
-async fn serve_caller(stream: TcpStream, caller: SocketAddr, server: CallerServer) {
+async fn serve_caller(mut stream: TcpStream, caller: SocketAddr, server: CallerServer) {
     let Ok(_permit) = server.connections.clone().try_acquire_owned() else {
         tracing::warn!(%caller, "too many connections; refused");
+        let _ = stream.write_all(TOO_MANY_CONNECTIONS.as_bytes()).await;
         return;
     };
     let _ = stream.set_nodelay(true);
--- /dev/null
+++ b/src/request/run.rs
@@ -0,0 +1,383 @@
+//! One run of a query on one pinned version: attempts, hedges, retries and the answer.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use rand::RngExt;
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::batch_call::{BatchCall, Event};
+use super::choose::{Candidate, Choice, choose, choose_hedge};
+use super::coordinator::Coordinator;
+use super::gather::Gather;
+use super::query::{Answer, Query};
+use crate::clock::{Monotonic, millis};
+use crate::connection::peer::{Batch, BatchId, BatchItem, Part, PeerClient, ShardReport};
+use crate::ids::{HostId, ServerId, ShardId};
+use crate::outcome::{NotRunReason, Outcome};
+use crate::version::config::{Preference, Server, Service, Shard};
+use crate::version::operational::Operational;
+
+/// An early answer waits this many hedge delays.
+const EARLY_FACTOR: u32 = 2;
+/// Attempts at one shard.
+const MAX_ATTEMPTS: usize = 6;
+const FIRST_BACKOFF: Duration = Duration::from_millis(10);
+/// How long to wait for an owner to take a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Where an attempt at a shard went.
+pub(super) struct SentAttempt {
+    owner: HostId,
+    batch: BatchId,
+    server: ServerId,
+}
+
+/// One run of a query on one pinned version.
+pub(super) struct Run<'a> {
+    pub(super) coordinator: &'a Coordinator,
+    pub(super) pinned: &'a Operational,
+    pub(super) service: &'a Service,
+    pub(super) query: &'a Query,
+    pub(super) shards: BTreeMap<ShardId, &'a Shard>,
+    pub(super) deadline: Monotonic,
+    pub(super) hedge_delay: Duration,
+    pub(super) gather: Gather,
+    pub(super) retries: Vec<(Monotonic, ShardId)>,
+    pub(super) calls: JoinSet<()>,
+    pub(super) sent: HashMap<ShardId, SmallVec<[SentAttempt; 2]>>,
+    pub(super) events: mpsc::UnboundedSender<Event>,
+}
+
+impl Run<'_> {
+    /// Drives the query until it is answered, settled or out of time.
+    pub(super) async fn finish(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Event>,
+    ) -> (Outcome<Answer>, bool) {
+        let started = self.now();
+        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
+        self.coordinator.with_budgets(&self.service.id, |b| {
+            b.hedge.deposit(started, shards.len() as u64);
+            b.retry.deposit(started, shards.len() as u64);
+        });
+        self.send(&shards, "first");
+        let mut hedge_at = Some(started + self.hedge_delay);
+        while !self.is_done(started) {
+            let wake = self.next_wake(started, hedge_at);
+            let until = self.coordinator.context.clock.instant(wake);
+            tokio::select! {
+                Some(event) = inbox.recv() => self.on_event(event),
+                () = tokio::time::sleep_until(until) => {}
+            }
+            let now = self.now();
+            if hedge_at.is_some_and(|at| now >= at) {
+                hedge_at = None;
+                self.hedge();
+            }
+            self.retry_due(now);
+        }
+        self.abandon();
+        let version_gone = self.gather.version_gone();
+        (self.gather.finish(), version_gone)
+    }
+
+    fn now(&self) -> Monotonic {
+        self.coordinator.context.clock.now()
+    }
+
+    fn is_done(&self, started: Monotonic) -> bool {
+        let now = self.now();
+        let settled = self.gather.is_idle() && self.retries.is_empty();
+        let late = self.service.preference == Preference::Latency
+            && now >= started + self.hedge_delay * EARLY_FACTOR
+            && self.gather.coverage().permille() >= self.service.floor_permille.max(1);
+        self.gather.is_complete() || settled || late || now >= self.deadline
+    }
+
+    fn next_wake(&self, started: Monotonic, hedge_at: Option<Monotonic>) -> Monotonic {
+        let early = (self.service.preference == Preference::Latency)
+            .then_some(started + self.hedge_delay * EARLY_FACTOR)
+            .filter(|at| *at > self.now());
+        let retry = self.retries.iter().map(|(at, _)| *at).min();
+        [Some(self.deadline), hedge_at, early, retry]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or_default()
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let now = self.now();
+        let (part, reported) = match event {
+            Event::Late { items } => {
+                self.fail_over(now, &items);
+                return;
+            }
+            Event::Part { sent_at, part } => {
+                self.record_latencies(now.saturating_sub(sent_at), &part);
+                (part, true)
+            }
+            Event::Failed { items, outcome } => {
+                let ended = items.into_iter().map(|item| ShardReport {
+                    shard: item.shard,
+                    server: item.server,
+                    outcome: outcome.clone(),
+                    expected_us: 0,
+                    warm: false,
+                    took_us: 0,
+                });
+                (Part { ended: ended.collect(), rows: Vec::new(), pending: 0, held_us: 0 }, false)
+            }
+        };
+        self.take_hints(now, &part, reported);
+        let ended: Vec<ShardId> = part.ended.iter().map(|r| r.shard).collect();
+        let open = self.gather.on_part(part);
+        for shard in ended {
+            if self.gather.is_answered(shard) {
+                self.cancel_losers(shard);
+            }
+        }
+        for shard in open {
+            self.plan_retry(now, shard);
+        }
+    }
+
+    /// Records what each answered shard took, less the time that its reply was held back for
+    /// others of its batch.
+    fn record_latencies(&self, took: Duration, part: &Part) {
+        let answered = part.ended.iter().filter(|r| matches!(r.outcome, Outcome::Answered(())));
+        for report in answered {
+            let held = Duration::from_micros(part.held_us.saturating_sub(report.took_us));
+            self.coordinator.record_latency(&self.service.id, took.saturating_sub(held));
+        }
+    }
+
+    fn take_hints(&self, now: Monotonic, part: &Part, reported: bool) {
+        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let mut overloaded = false;
+        for report in &part.ended {
+            let expected = Duration::from_micros(report.expected_us);
+            let hint = reported.then_some((expected, report.warm));
+            hints.on_ended(now, &report.server, &report.outcome, hint);
+            overloaded |= matches!(
+                report.outcome,
+                Outcome::NotRun(NotRunReason::Overloaded | NotRunReason::DeadlineTooClose)
+            );
+        }
+        drop(hints);
+        if overloaded {
+            self.coordinator.with_budgets(&self.service.id, |b| {
+                b.hedge.on_overload(now);
+                b.retry.on_overload(now);
+            });
+        }
+    }
+
+    /// Asks the shards of a host that does not answer again at other hosts.
+    fn fail_over(&mut self, now: Monotonic, items: &[BatchItem]) {
+        for item in items {
+            let waiting = !self.gather.is_answered(item.shard);
+            if waiting && self.gather.tried(item.shard).len() == 1 && self.spend_retry(now) {
+                self.retries.push((now, item.shard));
+            }
+        }
+    }
+
+    /// Takes one retry out of the budget, where there is one.
+    fn spend_retry(&self, now: Monotonic) -> bool {
+        !self.coordinator.context.policy.retry_budget
+            || self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now))
+    }
+
+    /// Plans the next attempt at a shard, if its failure and the budget allow one.
+    fn plan_retry(&mut self, now: Monotonic, shard: ShardId) {
+        let tried = self.gather.tried(shard).len();
+        let Some(failure) = self.gather.failure(shard) else {
+            return;
+        };
+        let touched = matches!(
+            failure,
+            Outcome::Unknown(_) | Outcome::NotRun(NotRunReason::Shed | NotRunReason::VersionGone)
+        );
+        let hopeless =
+            matches!(failure, Outcome::NotRun(NotRunReason::VersionGone | NotRunReason::Cancelled));
+        if hopeless || tried >= MAX_ATTEMPTS {
+            return;
+        }
+        if touched && !self.spend_retry(now) {
+            return;
+        }
+        let replicas = self.shards.get(&shard).map_or(0, |s| s.servers.len());
+        let rounds = u32::try_from(tried / replicas.max(1)).unwrap_or(u32::MAX);
+        let backoff =
+            if rounds == 0 { Duration::ZERO } else { FIRST_BACKOFF * (1 << rounds.min(6)) };
+        self.retries.push((now + backoff, shard));
+    }
+
+    fn retry_due(&mut self, now: Monotonic) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.retries).into_iter().partition(|(at, _)| *at <= now);
+        self.retries = later;
+        let shards: Vec<ShardId> = due.into_iter().map(|(_, shard)| shard).collect();
+        if !shards.is_empty() {
+            self.send(&shards, "retry");
+        }
+    }
+
+    /// Asks late shards again at another warm replica, within the budget.
+    fn hedge(&mut self) {
+        if !self.coordinator.context.policy.hedging {
+            return;
+        }
+        let now = self.now();
+        for shard in self.gather.first_attempts() {
+            let candidates = self.candidates(shard);
+            let Some(n) = choose_hedge(&candidates) else {
+                continue;
+            };
+            if !self.coordinator.with_budgets(&self.service.id, |b| b.hedge.try_spend(now)) {
+                return;
+            }
+            let server = self.shards[&shard].servers[n].clone();
+            self.send_to(vec![(shard, server)], "hedge");
+        }
+    }
+
+    fn candidates(&self, shard: ShardId) -> Vec<Candidate> {
+        let now = self.now();
+        let typical = Duration::from_millis(self.service.limits.typical_ms);
+        let newest = self.coordinator.context.operational.load();
+        let hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let tried = self.gather.tried(shard);
+        let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
+        let candidate = |server: &Server| {
+            let open = self.is_open(&newest, &server.id);
+            hints.candidate(now, &server.id, typical, open, tried.contains(&server.id))
+        };
+        servers.iter().map(candidate).collect()
+    }
+
+    /// Tells whether a server may get work and its owner answers.
+    fn is_open(&self, newest: &Operational, server: &ServerId) -> bool {
+        let context = &self.coordinator.context;
+        newest.gate(server).is_ok_and(|entry| !context.is_suspect(&context.holder(&entry.seat)))
+    }
+
+    /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
+    fn send(&mut self, shards: &[ShardId], kind: &'static str) {
+        let two_choices = self.coordinator.context.policy.two_choices;
+        let choice = if two_choices { Choice::TwoChoices } else { Choice::Random };
+        let mut chosen = Vec::with_capacity(shards.len());
+        for shard in shards {
+            let mut candidates = self.candidates(*shard);
+            if !candidates.iter().any(|c| c.usable) {
+                // All refused a moment ago; the owners decide, not the memory of it.
+                candidates.iter_mut().for_each(|c| c.usable = true);
+            }
+            if let Some(n) = choose(&candidates, choice, &mut rand::rng()) {
+                chosen.push((*shard, self.shards[shard].servers[n].clone()));
+            }
+        }
+        self.send_to(chosen, kind);
+    }
+
+    /// Sends attempts to the owners of their servers, one batch for each owner.
+    fn send_to(&mut self, chosen: Vec<(ShardId, Server)>, kind: &'static str) {
+        let context = &self.coordinator.context;
+        context.metrics.attempts(kind, chosen.len() as u64);
+        let newest = context.operational.load();
+        let mut by_owner: BTreeMap<HostId, Vec<BatchItem>> = BTreeMap::new();
+        for (shard, server) in chosen {
+            let entry = newest.server(&server.id).or_else(|| self.pinned.server(&server.id));
+            let Some(seat) = entry.map(|entry| entry.seat.clone()) else {
+                continue;
+            };
+            let owner = context.holder(&seat);
+            let attempt = rand::rng().random();
+            tracing::info!(
+                request = %self.query.request_id, shard, server = %server.id, %owner, kind,
+                attempt, "routed"
+            );
+            self.gather.on_sent(shard, &server.id);
+            self.coordinator
+                .hints
+                .lock()
+                .expect("no holder of the lock panics")
+                .on_sent(&server.id);
+            let item = BatchItem { attempt, shard, server: server.id };
+            by_owner.entry(owner).or_default().push(item);
+        }
+        for (owner, items) in by_owner {
+            let id = rand::rng().random();
+            for item in &items {
+                let sent = self.sent.entry(item.shard).or_default();
+                sent.push(SentAttempt {
+                    owner: owner.clone(),
+                    batch: id,
+                    server: item.server.clone(),
+                });
+            }
+            self.call(owner, id, items);
+        }
+    }
+
+    fn call(&mut self, owner: HostId, id: BatchId, items: Vec<BatchItem>) {
+        let batch = Batch {
+            id,
+            query: self.query.clone(),
+            kind: self.service.kind,
+            index_version: self.service.index_version,
+            deadline_us: 0,
+            flush_ms: millis(self.hedge_delay * 3 / 4),
+            items,
+        };
+        let call = BatchCall {
+            context: self.coordinator.context.clone(),
+            batches: self.coordinator.batches.clone(),
+            owner,
+            deadline: self.deadline,
+            sent_at: self.now(),
+            events: self.events.clone(),
+        };
+        self.calls.spawn(call.run(batch));
+    }
+
+    /// Stops the attempts at a shard that another one answered first.
+    fn cancel_losers(&mut self, shard: ShardId) {
+        let running = self.gather.running(shard);
+        let Some(sent) = self.sent.get(&shard) else {
+            return;
+        };
+        for loser in sent.iter().filter(|attempt| running.contains(&attempt.server)) {
+            let context = self.coordinator.context.clone();
+            if loser.owner == context.me {
+                self.coordinator.batches.cancel(loser.batch, &[shard]);
+                continue;
+            }
+            let (owner, id) = (loser.owner.clone(), loser.batch);
+            tokio::spawn(async move {
+                let Some(to) = context.address(&owner) else {
+                    return;
+                };
+                let call = |client: PeerClient, ctx| async move {
+                    client.cancel(ctx, id, vec![shard]).await
+                };
+                let _ = context.peers.call(&to, CANCEL_TIMEOUT, call).await;
+            });
+        }
+    }
+
+    /// Gives up what still runs; dropping the calls stops it at the owners.
+    fn abandon(&mut self) {
+        self.calls.abort_all();
+        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        for shard in self.shards.keys() {
+            for server in self.gather.running(*shard) {
+                hints.on_abandoned(server);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/stateful/world/owners.rs
@@ -0,0 +1,166 @@
+//! Owners in the world: queues, the gate and replies.
+
+use super::*;
+
+impl World {
+    pub(super) fn enqueue(&mut self, me: &HostId, job: Job) {
+        let now = self.local(me);
+        let server = self.server_of(&job.request);
+        let (attempt, from) = (job.request.attempt, job.from.clone());
+        let permit = self.permit(me, &server);
+        let owned = self.owned(me, &server);
+        let deadline = job.deadline;
+        let pushed = match permit {
+            Ok(permit) => {
+                let priority = permit.entry.priority;
+                owned.queue.push(now, priority, deadline, permit.allowance, job).map(|_| ())
+            }
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = pushed {
+            let outcome = Outcome::NotRun(reason);
+            self.send(me, &from, Message::Report { attempt, server, outcome });
+        }
+    }
+
+    /// Attempts carry the server in their term, which servers ignore.
+    pub(super) fn server_of(&self, request: &RunRequest) -> ServerId {
+        request.term.as_str().split(' ').next().unwrap_or_default().into()
+    }
+
+    pub(super) fn owned(&mut self, me: &HostId, server: &ServerId) -> &mut Owned {
+        let node = self.nodes.get_mut(me).unwrap();
+        node.owned.entry(server.clone()).or_insert_with(|| Owned {
+            queue: ServerQueue::new(WARM_TIME, Admission::Early),
+            temperature: Temperature::default(),
+            connected: None,
+            sent: HashMap::new(),
+        })
+    }
+
+    pub(super) fn permit(
+        &mut self,
+        me: &HostId,
+        server: &ServerId,
+    ) -> Result<Permit, NotRunReason> {
+        let now = self.local(me);
+        let warmth = self.owned(me, server).temperature.warmth();
+        let node = &self.nodes[me];
+        let (operational, leases) = (&node.operational, &node.leases);
+        let standing = Standing { now, me, operational, leases, owners: true };
+        standing.permit(server, warmth, Monotonic::ZERO)
+    }
+
+    pub(super) fn must_wait(&self, me: &HostId) -> bool {
+        !flawed!(PauseIgnored) && self.nodes[me].pause.must_wait(self.local(me))
+    }
+
+    pub(super) fn pump_all(&mut self, me: &HostId) {
+        let servers: Vec<ServerId> = self.nodes[me].owned.keys().cloned().collect();
+        for server in servers {
+            while !self.must_wait(me) && self.pump(me, &server) {}
+        }
+    }
+
+    /// Sends one attempt, if the gate and the server's present life allow it.
+    pub(super) fn pump(&mut self, me: &HostId, server: &ServerId) -> bool {
+        let permit = match self.permit(me, server) {
+            Ok(permit) => permit,
+            Err(reason) => {
+                let jobs = self.owned(me, server).queue.drain();
+                for job in jobs {
+                    let (attempt, outcome) = (job.request.attempt, Outcome::NotRun(reason));
+                    let server = server.clone();
+                    self.send(me, &job.from, Message::Report { attempt, server, outcome });
+                }
+                return false;
+            }
+        };
+        let now = self.local(me);
+        let Some((ticket, job)) = self.owned(me, server).queue.pop(permit.allowance) else {
+            return false;
+        };
+        let connected = self.connect(me, server);
+        let permit = self.permit(me, server);
+        let owned = self.owned(me, server);
+        let room = permit.as_ref().is_ok_and(|p| owned.sent.len() < p.allowance as usize);
+        let Some(life) = connected.filter(|_| room && now < job.deadline) else {
+            if now < job.deadline && room {
+                owned.queue.finish(None);
+                let (attempt, server) = (job.request.attempt, server.clone());
+                let outcome = Outcome::NotRun(NotRunReason::Unreachable);
+                self.send(me, &job.from, Message::Report { attempt, server, outcome });
+            } else if now < job.deadline {
+                owned.queue.restore(ticket, job);
+            } else {
+                owned.queue.finish(None);
+            }
+            return false;
+        };
+        owned.sent.insert(job.request.attempt, job.clone());
+        let message = Message::ToServer {
+            from: me.clone(),
+            server: server.clone(),
+            life,
+            request: job.request,
+        };
+        self.post(me, message);
+        true
+    }
+
+    /// Uses the connection to a server's life, or makes a new one.
+    pub(super) fn connect(&mut self, me: &HostId, server: &ServerId) -> Option<InstanceId> {
+        let known = self.owned(me, server).connected.clone();
+        if known.is_some() {
+            return known;
+        }
+        let reachable = self.side(&self.domain_of(me)) == self.side(&self.servers[server].domain);
+        let life = instance(server, self.servers[server].life);
+        if !reachable {
+            return None;
+        }
+        let owned = self.owned(me, server);
+        if owned.temperature.on_instance(&life) {
+            owned.sent.clear();
+        }
+        owned.connected = Some(life.clone());
+        Some(life)
+    }
+
+    pub(super) fn on_reply(
+        &mut self,
+        me: &HostId,
+        server: &ServerId,
+        request: &RunRequest,
+        reply: Outcome<Vec<u8>>,
+    ) {
+        let took = if matches!(reply, Outcome::Answered(_)) {
+            Some(self.service_time(server))
+        } else {
+            None
+        };
+        let limits = self.nodes[me].operational.server(server).map(|e| e.limits.clone());
+        let owned = self.owned(me, server);
+        let Some(job) = owned.sent.remove(&request.attempt) else { return };
+        owned.queue.finish(took);
+        let outcome = match reply {
+            Outcome::Answered(bytes) => {
+                if let (Some(took), Some(limits)) = (took, limits) {
+                    owned.temperature.on_reply(took, &limits);
+                }
+                verify(request, StatusCode::OK, &bytes)
+            }
+            Outcome::NotRun(reason) => Outcome::NotRun(reason),
+            Outcome::Unknown(reason) => {
+                owned.connected = None;
+                Outcome::Unknown(reason)
+            }
+        };
+        let (attempt, server) = (request.attempt, server.clone());
+        self.send(me, &job.from, Message::Report { attempt, server, outcome });
+    }
+
+    pub(super) fn service_time(&self, server: &ServerId) -> Duration {
+        if self.servers[server].done < WARM_AFTER { COLD_TIME } else { WARM_TIME }
+    }
+}
