Serve the call timeout and the open check from one place; move rows

Cause: read once more, the change cloned every shard's rows to report its outcome, wrote the call timeout three times and the test for an open server twice, built a seat's lease in two places, and went through all hosts at each heartbeat only to claim the own seat again. Change: the rows are moved; Context::call_timeout, Context::is_open and Membership::claim_seat serve all callers; a heartbeat claims the own seat alone; an unused call of a stand-in is gone. Conclusion: behaviour and tests unchanged.

--- a/src/process/batches.rs
+++ b/src/process/batches.rs
@@ -14,7 +14,6 @@
 use crate::connection::backend::RunRequest;
 use crate::connection::peer::{Batch, BatchId, BatchItem, Part, ShardReport};
 use crate::ids::ShardId;
-use crate::outcome::Outcome;
 use crate::request::query::{Row, merge_rows};
 use crate::version::config::Kind;
 
@@ -97,17 +96,15 @@
             let (owner, sender, item) = (self.owner.clone(), sender.clone(), item.clone());
             tokio::spawn(async move {
                 let result = owner.run(job, cancel).await;
+                let mut rows = Vec::new();
+                let outcome = result.outcome.map(|answered| rows = answered);
                 let report = ShardReport {
                     shard: item.shard,
                     server: item.server,
                     expected_us: micros(result.expected),
                     warm: result.warm,
                     took_us: micros(arrived.elapsed()),
-                    outcome: result.outcome.clone().map(|_| ()),
-                };
-                let rows = match result.outcome {
-                    Outcome::Answered(rows) => rows,
-                    Outcome::NotRun(_) | Outcome::Unknown(_) => Vec::new(),
+                    outcome,
                 };
                 let _ = sender.send((report, rows));
             });
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +19,9 @@
 use crate::policy::Policy;
 use crate::version::operational::Operational;
 
+/// How much longer than its deadline a call between hosts is awaited.
+const CALL_GRACE: Duration = Duration::from_millis(10);
+
 /// The state that outlives requests, connections and versions.
 #[derive(Debug)]
 pub(crate) struct Context {
@@ -75,6 +79,17 @@
         best.unwrap_or(seat).clone()
     }
 
+    /// Tells whether a server may get work and its owner answers.
+    pub(crate) fn is_open(&self, server: &str) -> bool {
+        let newest = self.operational.load();
+        newest.gate(server).is_ok_and(|entry| !self.is_suspect(&self.holder(&entry.seat)))
+    }
+
+    /// Returns how long a call that must end by a deadline is awaited.
+    pub(crate) fn call_timeout(&self, deadline: Monotonic) -> Duration {
+        deadline.saturating_sub(self.clock.now()) + CALL_GRACE
+    }
+
     /// Returns where a host is reached by its peers.
     pub(crate) fn address(&self, host: &HostId) -> Option<PeerAddress> {
         let operational = self.operational.load();
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -286,13 +286,23 @@
                 self.claimed.entry(host.id.clone()).or_insert(now);
             }
         }
-        if config.host(&self.me).is_some() && !self.seats.contains_key(&self.me) {
-            let witnesses = self.operational.witnesses(&self.me).into();
-            let lease = SeatLease::new(config.fleet.timing.lease(), witnesses);
-            self.seats.insert(self.me.clone(), lease);
+        self.claim_own_seat();
+    }
+
+    fn claim_own_seat(&mut self) {
+        let me = self.me.clone();
+        if self.operational.config.host(&me).is_some() {
+            self.claim_seat(me);
         }
     }
 
+    /// Starts to claim a seat, if it is not claimed yet.
+    fn claim_seat(&mut self, seat: HostId) {
+        let lease = self.operational.config.fleet.timing.lease();
+        let witnesses = self.operational.witnesses(&seat).into();
+        self.seats.entry(seat).or_insert_with(|| SeatLease::new(lease, witnesses));
+    }
+
     fn heartbeat(
         &mut self,
         now: Monotonic,
@@ -341,7 +351,7 @@
             self.seats.remove(&seat);
         }
         if self.is_in(&self.me) {
-            self.set_config(now);
+            self.claim_own_seat();
         }
     }
 
@@ -362,8 +372,7 @@
             .map(|(seat, _)| seat.clone())
             .collect();
         for seat in due {
-            let witnesses = self.operational.witnesses(&seat).into();
-            self.seats.insert(seat, SeatLease::new(lease, witnesses));
+            self.claim_seat(seat);
         }
     }
 
@@ -384,8 +393,9 @@
     /// Tells whether a host was heard of lately: by its heartbeats where they come here, else by
     /// its rumor.
     fn is_live(&self, now: Monotonic, host: &HostId) -> bool {
-        if self.claimed.contains_key(host) || !self.silent(now, host) {
-            return !self.silent(now, host);
+        let heard = !self.silent(now, host);
+        if heard || self.claimed.contains_key(host) {
+            return heard;
         }
         let limit = self.gossip.refresh() * LIVE_RENEWALS;
         self.gossip.learnt_at(host).is_some_and(|at| now <= at + limit)
--- a/src/request/batch_call.rs
+++ b/src/request/batch_call.rs
@@ -13,8 +13,6 @@
 use crate::process::batches::{Batches, COLLECT_WAIT};
 use crate::process::context::Context;
 
-/// How much longer than its deadline a call between hosts is awaited.
-const CALL_GRACE: Duration = Duration::from_millis(10);
 /// How much later than expected an owner may answer before work goes elsewhere.
 const LATE_ALLOWANCE: Duration = Duration::from_millis(50);
 
@@ -64,7 +62,7 @@
             self.context.peers.deadline_at(&to, self.deadline).await.ok_or(CallError::NotSent)?;
         batch.deadline_us = deadline_us;
         let flush = Duration::from_millis(batch.flush_ms);
-        let timeout = || self.deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
+        let timeout = || self.context.call_timeout(self.deadline);
         let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
         let allowed = flush + LATE_ALLOWANCE;
         let first = self.context.peers.call(&to, timeout(), call);
--- a/src/request/coordinator.rs
+++ b/src/request/coordinator.rs
@@ -40,8 +40,6 @@
 const MAX_HEDGE_FACTOR: u32 = 5;
 /// The hedge delay while there are too few samples.
 const START_HEDGE_FACTOR: u32 = 4;
-/// How much longer than its deadline a call between hosts is awaited.
-const CALL_GRACE: Duration = Duration::from_millis(10);
 /// How long to wait before looking for a keeper again.
 const KEEPER_RETRY: Duration = Duration::from_millis(50);
 
@@ -203,7 +201,7 @@
             return unreachable;
         };
         let sent_at = self.context.clock.now();
-        let timeout = deadline.saturating_sub(sent_at) + CALL_GRACE;
+        let timeout = self.context.call_timeout(deadline);
         let order = Order { query, deadline_us };
         let call = |client: PeerClient, ctx| async move { client.submit(ctx, order).await };
         match self.context.peers.call(&to, timeout, call).await {
--- a/src/request/keeper.rs
+++ b/src/request/keeper.rs
@@ -25,7 +25,6 @@
 const RECORD_CAPACITY: usize = 50_000;
 /// Replicas tried before a request is refused.
 const MAX_REPLICAS: usize = 4;
-const CALL_GRACE: Duration = Duration::from_millis(10);
 
 /// The keeper's part of a host.
 #[derive(Debug)]
@@ -114,16 +113,12 @@
     fn replicas(&self, service: &Service, query: &Query) -> Vec<Server> {
         let now = self.context.clock.now();
         let typical = Duration::from_millis(service.limits.typical_ms);
-        let newest = self.context.operational.load();
         let hints = self.hints.lock().expect("no holder of the lock panics");
         let shard = service.shard_of(&query.key);
         let mut servers: Vec<(Duration, u32, Server)> = shard
             .into_iter()
             .flat_map(|s| &s.servers)
-            .filter(|server| {
-                let gate = newest.gate(&server.id);
-                gate.is_ok_and(|e| !self.context.is_suspect(&self.context.holder(&e.seat)))
-            })
+            .filter(|server| self.context.is_open(&server.id))
             .map(|server| {
                 let known = hints.candidate(now, &server.id, typical, true, false);
                 let avoid = if known.usable { Duration::ZERO } else { typical * 100 };
@@ -181,7 +176,7 @@
         let to = self.context.address(owner).ok_or(CallError::NotSent)?;
         batch.deadline_us =
             self.context.peers.deadline_at(&to, deadline).await.ok_or(CallError::NotSent)?;
-        let timeout = deadline.saturating_sub(self.context.clock.now()) + CALL_GRACE;
+        let timeout = self.context.call_timeout(deadline);
         let call = |client: PeerClient, ctx| async move { client.run(ctx, batch).await };
         self.context.peers.call(&to, timeout, call).await
     }
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -249,23 +249,16 @@
     fn candidates(&self, shard: ShardId) -> Vec<Candidate> {
         let now = self.now();
         let typical = Duration::from_millis(self.service.limits.typical_ms);
-        let newest = self.coordinator.context.operational.load();
         let hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
         let tried = self.gather.tried(shard);
         let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
         let candidate = |server: &Server| {
-            let open = self.is_open(&newest, &server.id);
+            let open = self.coordinator.context.is_open(&server.id);
             hints.candidate(now, &server.id, typical, open, tried.contains(&server.id))
         };
         servers.iter().map(candidate).collect()
     }
 
-    /// Tells whether a server may get work and its owner answers.
-    fn is_open(&self, newest: &Operational, server: &ServerId) -> bool {
-        let context = &self.coordinator.context;
-        newest.gate(server).is_ok_and(|entry| !context.is_suspect(&context.holder(&entry.seat)))
-    }
-
     /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
     fn send(&mut self, shards: &[ShardId], kind: &'static str) {
         let two_choices = self.coordinator.context.policy.two_choices;
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -190,11 +190,6 @@
         self.lock().versions = versions.into_iter().collect();
     }
 
-    /// Makes the server warm at once.
-    pub fn warm_up(&self) {
-        self.lock().done = WARM_AFTER;
-    }
-
     /// Returns how many requests are in flight.
     pub fn in_flight(&self) -> u32 {
         self.lock().in_flight
