Serve on the users' platform: adapter, plan, registry, beliefs, scatter

Cause: the program spoke only its own interface and knew only listed hosts and servers. What: platform/ decodes settings, store, callers and servers; the library gains plans, a registry by revision, hosts that find each other, and requests over shards with opaque parts.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,9 +2,12 @@
 
 pub mod backend;
 pub mod caller;
+pub mod exchange;
 pub(crate) mod fence;
 pub(crate) mod http_client;
 pub mod links;
 pub mod peer;
 pub(crate) mod peer_pool;
 pub mod platform;
+pub mod server_pool;
+pub mod source;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -24,3 +24,5 @@
 pub type Incarnation = u64;
 /// Names one attempt to run a request, or a part of it, at a backend server.
 pub type AttemptId = u64;
+/// Orders the changes of a source that several hosts read.
+pub type Revision = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod flaw;
 pub mod ids;
+pub mod log;
 pub mod measure;
 mod outcome;
 pub mod policy;
--- /dev/null
+++ b/src/process/fleet/directory/tests.rs
@@ -0,0 +1,62 @@
+use std::net::Ipv4Addr;
+
+use super::choose;
+use crate::process::fleet::members::{FleetView, Heartbeat, Phase};
+
+fn host(n: u8, domain: u8, phase: Phase) -> Heartbeat {
+    Heartbeat {
+        ip: Ipv4Addr::new(10, domain, 0, n),
+        life: 1,
+        count: 1,
+        phase,
+        domain,
+        weight: 25,
+        revision: 0,
+        version: 0,
+        reads: true,
+    }
+}
+
+#[test]
+fn callers_get_ready_hosts_near_ones_first() {
+    struct Case {
+        name: &'static str,
+        up: Vec<Heartbeat>,
+        domain: u8,
+        hosts: usize,
+        near: usize,
+    }
+    let ready = |n, domain| host(n, domain, Phase::Ready);
+    let cases = [
+        Case {
+            name: "enough near ones",
+            up: vec![ready(1, 0), ready(2, 0), ready(3, 1)],
+            domain: 0,
+            hosts: 2,
+            near: 2,
+        },
+        Case {
+            name: "one near",
+            up: vec![ready(1, 0), ready(2, 1), ready(3, 1)],
+            domain: 0,
+            hosts: 2,
+            near: 1,
+        },
+        Case {
+            name: "leaving ones are not named",
+            up: vec![host(1, 0, Phase::Leaving), host(2, 0, Phase::Starting), ready(3, 1)],
+            domain: 0,
+            hosts: 1,
+            near: 0,
+        },
+        Case { name: "nobody", up: vec![], domain: 0, hosts: 0, near: 0 },
+    ];
+    for case in cases {
+        let fleet = FleetView { up: case.up, sharing: 4 };
+        for turn in 0..3 {
+            let hosts = choose(&fleet, None, case.domain, turn);
+            let near = hosts.iter().filter(|ip| ip.octets()[1] == case.domain).count();
+            assert_eq!((hosts.len(), near), (case.hosts, case.near), "{}", case.name);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/fleet/members/tests.rs
@@ -0,0 +1,127 @@
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::{Gossip, Heartbeat, Members, Phase};
+use crate::clock::Monotonic;
+
+const DOMAINS: u8 = 4;
+
+fn ip(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, n % DOMAINS, 0, n)
+}
+
+fn heartbeat(n: u8) -> Heartbeat {
+    Heartbeat {
+        ip: ip(n),
+        life: 1,
+        count: 0,
+        phase: Phase::Ready,
+        domain: n % DOMAINS,
+        weight: 25,
+        revision: 0,
+        version: 0,
+        reads: true,
+    }
+}
+
+/// Hosts whose messages arrive at once, or are lost.
+struct Net {
+    now: Monotonic,
+    hosts: Vec<Option<Members>>,
+    rng: StdRng,
+}
+
+impl Net {
+    fn new(hosts: u8) -> Self {
+        let seeds = vec![ip(0), ip(1), ip(200)];
+        let now = Duration::from_secs(1);
+        let start = |n| Some(Members::new(now, heartbeat(n), seeds.clone()));
+        Self { now, hosts: (0..hosts).map(start).collect(), rng: StdRng::seed_from_u64(7) }
+    }
+
+    fn run(&mut self, time: Duration, lost_share: f64) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += Duration::from_millis(50);
+            for n in 0..self.hosts.len() {
+                let Some(host) = &mut self.hosts[n] else { continue };
+                let messages = host.tick(self.now, &mut self.rng);
+                self.deliver(messages, lost_share);
+            }
+        }
+    }
+
+    fn deliver(&mut self, messages: Vec<(Ipv4Addr, Gossip)>, lost_share: f64) {
+        for (to, gossip) in messages {
+            if rand::RngExt::random_bool(&mut self.rng, lost_share) {
+                continue;
+            }
+            let target = self.hosts.iter_mut().flatten().find(|host| host.me.ip == to);
+            if let Some(answer) = target.and_then(|host| host.on_gossip(self.now, gossip)) {
+                self.deliver(vec![answer], lost_share);
+            }
+        }
+    }
+
+    fn up_at(&self, n: usize) -> Vec<Ipv4Addr> {
+        let view = self.hosts[n].as_ref().expect("the host is up").view(self.now);
+        view.up.iter().map(|heartbeat| heartbeat.ip).collect()
+    }
+}
+
+#[test]
+fn hosts_find_each_other_and_notice_who_is_gone() {
+    struct Case {
+        name: &'static str,
+        hosts: u8,
+        lost_share: f64,
+    }
+    let cases = [
+        Case { name: "two", hosts: 2, lost_share: 0.0 },
+        Case { name: "eight", hosts: 8, lost_share: 0.0 },
+        Case { name: "eight with loss", hosts: 8, lost_share: 0.05 },
+        Case { name: "sixty", hosts: 60, lost_share: 0.01 },
+    ];
+    for case in cases {
+        let mut net = Net::new(case.hosts);
+        net.run(Duration::from_secs(4), case.lost_share);
+        for n in 0..usize::from(case.hosts) {
+            assert_eq!(net.up_at(n).len(), usize::from(case.hosts) - 1, "{} at {n}", case.name);
+        }
+        net.hosts[1] = None;
+        net.run(Duration::from_secs(5), case.lost_share);
+        for n in (0..usize::from(case.hosts)).filter(|n| *n != 1) {
+            assert!(!net.up_at(n).contains(&ip(1)), "{} at {n}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_restarted_host_is_up_again_within_a_second() {
+    let mut net = Net::new(8);
+    net.run(Duration::from_secs(20), 0.0);
+    let seeds = vec![ip(0), ip(1), ip(200)];
+    net.hosts[5] = Some(Members::new(net.now, heartbeat(5), seeds));
+    net.run(Duration::from_millis(1_500), 0.0);
+    for n in (0..8).filter(|n| *n != 5) {
+        let view = net.hosts[n].as_ref().expect("the host is up").view(net.now);
+        let known = view.up.iter().find(|heartbeat| heartbeat.ip == ip(5));
+        assert!(known.is_some_and(|heartbeat| heartbeat.life > 1), "at {n}: {known:?}");
+    }
+}
+
+#[test]
+fn silent_hosts_still_count_towards_shared_limits() {
+    let mut net = Net::new(8);
+    net.run(Duration::from_secs(4), 0.0);
+    for n in 4..8 {
+        net.hosts[n] = None;
+    }
+    net.run(Duration::from_secs(10), 0.0);
+    let view = net.hosts[0].as_ref().expect("the host is up").view(net.now);
+    assert_eq!(view.sharing, 8);
+    assert_eq!(view.up.len(), 3);
+}
--- /dev/null
+++ b/src/process/servers/belief/tests.rs
@@ -0,0 +1,85 @@
+use std::time::Duration;
+
+use super::{AttemptEnd, Beliefs};
+use crate::clock::Monotonic;
+use crate::ids::ServerId;
+
+const TYPICAL: Duration = Duration::from_millis(10);
+const START: Monotonic = Duration::from_secs(50);
+
+const fn at(ms: u64) -> Monotonic {
+    START.saturating_add(Duration::from_millis(ms))
+}
+
+#[test]
+fn a_silent_server_is_stalled_until_it_answers() {
+    let server = ServerId::from("a");
+    let mut beliefs = Beliefs::default();
+    let first = beliefs.on_sent(at(0), &server, TYPICAL);
+    let second = beliefs.on_sent(at(5), &server, TYPICAL);
+    assert!(!beliefs.standing(at(15), &server, 2, TYPICAL).stalled, "it is not overdue");
+    assert!(beliefs.standing(at(30), &server, 2, TYPICAL).stalled, "it is overdue and silent");
+    let took = Duration::from_millis(40);
+    beliefs.on_end(at(40), &server, second, TYPICAL, AttemptEnd::Answered(took));
+    assert!(!beliefs.standing(at(41), &server, 2, TYPICAL).stalled, "it speaks again");
+    beliefs.on_end(at(60), &server, first, TYPICAL, AttemptEnd::Answered(took));
+    assert!(!beliefs.standing(at(100), &server, 2, TYPICAL).stalled, "nothing is waited for");
+}
+
+#[test]
+fn what_an_attempt_shows_moves_work_away_and_is_forgotten() {
+    struct Case {
+        name: &'static str,
+        ends: &'static [AttemptEnd],
+        avoided: bool,
+        slower: bool,
+    }
+    let cases = [
+        Case {
+            name: "fast",
+            ends: &[AttemptEnd::Answered(TYPICAL)],
+            avoided: false,
+            slower: false,
+        },
+        Case {
+            name: "slow",
+            ends: &[AttemptEnd::Answered(Duration::from_millis(90))],
+            avoided: false,
+            slower: true,
+        },
+        Case { name: "unreachable", ends: &[AttemptEnd::Unreachable], avoided: true, slower: true },
+        Case { name: "one failure", ends: &[AttemptEnd::Failed], avoided: false, slower: true },
+        Case {
+            name: "many failures",
+            ends: &[AttemptEnd::Failed, AttemptEnd::Shed, AttemptEnd::Failed],
+            avoided: true,
+            slower: true,
+        },
+        Case { name: "not sent", ends: &[AttemptEnd::NotSent], avoided: false, slower: false },
+    ];
+    for case in cases {
+        let server = ServerId::from("a");
+        let mut beliefs = Beliefs::default();
+        for end in case.ends {
+            let ticket = beliefs.on_sent(at(0), &server, TYPICAL);
+            beliefs.on_end(at(1), &server, ticket, TYPICAL, *end);
+        }
+        let soon = beliefs.standing(at(2), &server, 2, TYPICAL);
+        assert_eq!(soon.avoided, case.avoided, "{}", case.name);
+        assert_eq!(soon.expected > TYPICAL.mul_f64(1.05), case.slower, "{}", case.name);
+        let later = beliefs.standing(at(30_000), &server, 2, TYPICAL);
+        assert!(!later.avoided && later.expected < TYPICAL.mul_f64(1.05), "{}", case.name);
+    }
+}
+
+#[test]
+fn the_typical_time_follows_the_replies() {
+    let mut beliefs = Beliefs::default();
+    let target = Duration::from_millis(200);
+    assert_eq!(beliefs.typical("r", target), Duration::from_millis(40));
+    for _ in 0..400 {
+        beliefs.on_route_reply(&"r".into(), Duration::from_millis(12), target);
+    }
+    let typical = beliefs.typical("r", target).as_secs_f64();
+    assert!((0.0115..0.0125).contains(&typical), "{typical}");
+}
--- /dev/null
+++ b/src/process/servers/extra_budget/tests.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use super::{ExtraBudget, ExtraLimit};
+use crate::clock::Monotonic;
+use crate::ids::ServiceId;
+
+const LIMIT: ExtraLimit =
+    ExtraLimit { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) };
+
+#[test]
+fn hosts_that_retry_everything_stay_within_the_shared_limit() {
+    struct Case {
+        hosts: usize,
+        requests_per_s: u64,
+    }
+    let cases = [
+        Case { hosts: 1, requests_per_s: 5 },
+        Case { hosts: 7, requests_per_s: 20 },
+        Case { hosts: 60, requests_per_s: 1 },
+    ];
+    for case in cases {
+        let service = ServiceId::from("s");
+        let mut budgets: Vec<ExtraBudget> =
+            (0..case.hosts).map(|_| ExtraBudget::new(LIMIT)).collect();
+        let mut sent: Vec<(Monotonic, u64, u64)> = Vec::new();
+        for ms in (0..40_000).step_by(100) {
+            let now = Duration::from_millis(ms);
+            let (mut first, mut extra) = (0, 0);
+            for budget in &mut budgets {
+                for _ in 0..case.requests_per_s.div_ceil(10) {
+                    budget.on_first(now, &service);
+                    first += 1;
+                    extra += u64::from(budget.try_spend(now, &service, case.hosts));
+                }
+            }
+            sent.push((now, first, extra));
+        }
+        for (from, ..) in &sent {
+            let inside = |at: &Monotonic| *at >= *from && *at < *from + LIMIT.window;
+            let window: Vec<_> = sent.iter().filter(|(at, ..)| inside(at)).collect();
+            let first: u64 = window.iter().map(|(_, first, _)| first).sum();
+            let extra: u64 = window.iter().map(|(.., extra)| extra).sum();
+            let allowed = first as f64 * LIMIT.ratio + LIMIT.allowance;
+            assert!(extra as f64 <= allowed, "{} hosts: {extra} > {allowed}", case.hosts);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/servers/split.rs
@@ -0,0 +1,39 @@
+//! Deals the requests of a split route to its services in exact proportion.
+
+use std::collections::HashMap;
+
+use crate::ids::ServiceId;
+use crate::version::plan::RouteId;
+
+/// The credit of each service of each split route.
+#[derive(Debug, Default)]
+pub struct SplitDealer {
+    routes: HashMap<RouteId, HashMap<ServiceId, f64>>,
+}
+
+impl SplitDealer {
+    /// Returns the service for the next request: the one furthest behind its weight.
+    ///
+    /// A request stays with its service, since moving it where there is room would change the
+    /// proportions that operators asked for.
+    pub fn deal(&mut self, route: &RouteId, parts: &[(ServiceId, f64)]) -> Option<ServiceId> {
+        let credits = self.routes.entry(route.clone()).or_default();
+        credits.retain(|service, _| parts.iter().any(|(part, _)| part == service));
+        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+        let mut best: Option<(&ServiceId, f64)> = None;
+        for (service, weight) in parts {
+            let credit =
+                credits.entry(service.clone()).or_insert_with(|| rand::random::<f64>() - 0.5);
+            *credit += weight / total;
+            if best.is_none_or(|(_, most)| *credit > most) {
+                best = Some((service, *credit));
+            }
+        }
+        let service = best?.0.clone();
+        *credits.get_mut(&service)? -= 1.0;
+        Some(service)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/process/servers/split/tests.rs
@@ -0,0 +1,31 @@
+use std::collections::HashMap;
+
+use super::SplitDealer;
+use crate::ids::ServiceId;
+
+#[test]
+fn each_service_gets_its_share() {
+    struct Case {
+        weights: &'static [(&'static str, f64)],
+    }
+    let cases = [
+        Case { weights: &[("a", 1.0), ("b", 1.0)] },
+        Case { weights: &[("a", 0.9), ("b", 0.1)] },
+        Case { weights: &[("a", 3.0), ("b", 2.0), ("c", 7.0)] },
+    ];
+    for case in cases {
+        let parts: Vec<(ServiceId, f64)> =
+            case.weights.iter().map(|(name, weight)| (ServiceId::from(*name), *weight)).collect();
+        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+        let mut dealer = SplitDealer::default();
+        let mut dealt: HashMap<ServiceId, f64> = HashMap::new();
+        for _ in 0..1_000 {
+            let service = dealer.deal(&"route".into(), &parts).expect("there are services");
+            *dealt.entry(service).or_default() += 1.0;
+        }
+        for (service, weight) in &parts {
+            let share = dealt[service] / 1_000.0;
+            assert!((share - weight / total).abs() < 0.01, "{service}: {share}");
+        }
+    }
+}
--- /dev/null
+++ b/src/process/tier.rs
@@ -0,0 +1,243 @@
+//! What every request of a running host shares: the plan, the servers, the fleet and beliefs.
+
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio_util::sync::CancellationToken;
+
+use super::fleet::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
+use super::metrics::Metrics;
+use super::servers::belief::Beliefs;
+use super::servers::extra_budget::{ExtraBudget, ExtraLimit};
+use super::servers::registry::{Change, Registry, ServerView};
+use super::servers::split::SplitDealer;
+use crate::clock::{Clock, Monotonic};
+use crate::connection::exchange::BackendProtocol;
+use crate::connection::server_pool::ServerPool;
+use crate::ids::{DomainId, Revision};
+use crate::version::plan::Plan;
+
+/// Servers that were not used for this long are forgotten.
+const FORGET_SERVERS_AFTER: Duration = Duration::from_secs(60);
+
+/// What a process learns from its settings.
+#[derive(Debug, Clone)]
+pub struct TierSettings {
+    /// This host's address, which is its name among hosts.
+    pub ip: Ipv4Addr,
+    /// The failure domain it stands in.
+    pub domain: DomainId,
+    /// All failure domains.
+    pub domains: Vec<DomainId>,
+    /// The port on which every host listens for the others.
+    pub peer_port: u16,
+    /// Hosts to ask first.
+    pub seeds: Vec<Ipv4Addr>,
+    /// What this host can bear beside the others, in hundredths of a core.
+    pub weight: u16,
+    /// The limit on attempts beyond the first.
+    pub extra: ExtraLimit,
+}
+
+impl TierSettings {
+    /// Returns where a failure domain stands in the sorted list of all.
+    pub fn domain_index(&self, domain: &str) -> DomainIndex {
+        let mut sorted: Vec<&DomainId> = self.domains.iter().collect();
+        sorted.sort_unstable();
+        let at = sorted.iter().position(|known| *known == domain);
+        at.and_then(|at| DomainIndex::try_from(at).ok()).unwrap_or(DomainIndex::MAX)
+    }
+}
+
+/// The state that outlives requests, connections and versions.
+#[derive(Debug)]
+pub struct Tier<B: BackendProtocol> {
+    /// What the process was told at its start.
+    pub settings: TierSettings,
+    /// The process's clock.
+    pub clock: Clock,
+    /// What backend servers speak.
+    pub backend: B,
+    /// Connections to backend servers.
+    pub pool: Arc<ServerPool<B::Link>>,
+    /// The plan in force; requests pin it when they are admitted.
+    pub plan: ArcSwap<Plan>,
+    /// The servers that may get work, read anew at every send.
+    pub servers: ArcSwap<ServerView>,
+    /// The other hosts.
+    pub fleet: ArcSwap<FleetView>,
+    /// Set once the host must not be given callers any more.
+    pub leaving: CancellationToken,
+    /// Set once the host takes no new requests.
+    pub closing: CancellationToken,
+    /// Set once the host stops.
+    pub stopped: CancellationToken,
+    pub(crate) metrics: Metrics,
+    registry: Mutex<Registry>,
+    members: Mutex<Members>,
+    beliefs: Mutex<Beliefs>,
+    extra: Mutex<ExtraBudget>,
+    split: Mutex<SplitDealer>,
+    running: AtomicU32,
+}
+
+impl<B: BackendProtocol> Tier<B> {
+    /// Starts without a plan, servers or other hosts.
+    pub fn new(settings: TierSettings, backend: B) -> Self {
+        let clock = Clock::start();
+        let me = Heartbeat {
+            ip: settings.ip,
+            life: 1,
+            count: 0,
+            phase: Phase::Starting,
+            domain: settings.domain_index(&settings.domain),
+            weight: settings.weight,
+            revision: 0,
+            version: 0,
+            reads: false,
+        };
+        Self {
+            members: Mutex::new(Members::new(clock.now(), me, settings.seeds.clone())),
+            extra: Mutex::new(ExtraBudget::new(settings.extra)),
+            clock,
+            backend,
+            settings,
+            pool: Arc::default(),
+            plan: ArcSwap::default(),
+            servers: ArcSwap::default(),
+            fleet: ArcSwap::from_pointee(FleetView { up: Vec::new(), sharing: 1 }),
+            leaving: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            stopped: CancellationToken::new(),
+            metrics: Metrics::new(),
+            registry: Mutex::default(),
+            beliefs: Mutex::default(),
+            split: Mutex::default(),
+            running: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns the time on the process's clock.
+    pub fn now(&self) -> Monotonic {
+        self.clock.now()
+    }
+
+    /// Returns the beliefs about backend servers.
+    pub fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
+        self.beliefs.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the budget of attempts beyond the first.
+    pub fn extra(&self) -> MutexGuard<'_, ExtraBudget> {
+        self.extra.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the dealer of split routes.
+    pub fn split(&self) -> MutexGuard<'_, SplitDealer> {
+        self.split.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the members of the fleet.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().expect("no holder of the lock panics")
+    }
+
+    /// Changes the registry and publishes a snapshot where something is new.
+    pub fn with_registry<T>(&self, change: impl FnOnce(&mut Registry) -> T) -> T {
+        let mut registry = self.registry.lock().expect("no holder of the lock panics");
+        let result = change(&mut registry);
+        self.servers.store(Arc::new(registry.view()));
+        result
+    }
+
+    /// Changes what the registry knows of its source, which changes no snapshot.
+    pub fn registry_mut<T>(&self, change: impl FnOnce(&mut Registry) -> T) -> T {
+        change(&mut self.registry.lock().expect("no holder of the lock panics"))
+    }
+
+    /// Reads the registry.
+    pub fn registry<T>(&self, read: impl FnOnce(&Registry) -> T) -> T {
+        read(&self.registry.lock().expect("no holder of the lock panics"))
+    }
+
+    /// Takes in changes of the platform's facts up to a revision.
+    pub fn apply_changes(&self, changes: Vec<Change>, up_to: Revision) {
+        let now = self.now();
+        let mut registry = self.registry.lock().expect("no holder of the lock panics");
+        if registry.apply(now, changes, up_to) {
+            self.servers.store(Arc::new(registry.view()));
+        }
+    }
+
+    /// Adopts a plan unless it is older than the one in force; returns whether it did.
+    pub fn adopt(&self, plan: Plan) -> bool {
+        let in_force = self.plan.load().version;
+        if plan.version <= in_force {
+            return false;
+        }
+        tracing::info!(from = in_force, to = plan.version, "plan adopted");
+        self.metrics.config_version();
+        self.plan.store(Arc::new(plan));
+        true
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.plan.load().version > 0
+            && !self.servers.load().is_empty()
+            && !self.leaving.is_cancelled()
+    }
+
+    /// Returns how far this host is in its life.
+    pub fn phase(&self) -> Phase {
+        match (self.leaving.is_cancelled(), self.is_ready()) {
+            (true, _) => Phase::Leaving,
+            (false, true) => Phase::Ready,
+            (false, false) => Phase::Starting,
+        }
+    }
+
+    /// Does what is due from time to time: drops entries whose hold ran out and connections that
+    /// may not be used any more.
+    pub fn sweep(&self) {
+        let now = self.now();
+        let mut registry = self.registry.lock().expect("no holder of the lock panics");
+        if registry.expire(now) {
+            tracing::info!("entries that lapsed while the platform was away are dropped");
+            self.servers.store(Arc::new(registry.view()));
+        }
+        drop(registry);
+        let servers = self.servers.load();
+        self.pool.sweep(now, |server| servers.may_send(server));
+        self.beliefs().forget_unused(now, FORGET_SERVERS_AFTER);
+    }
+
+    /// Counts a caller's request until the result is dropped.
+    pub fn count_running(&self) -> Running<'_> {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running(&self.running)
+    }
+
+    /// Returns how many requests of callers are running.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns all metrics as text for a scrape.
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+}
+
+/// Counts one running request.
+#[derive(Debug)]
+pub struct Running<'a>(&'a AtomicU32);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/request/attempt.rs
@@ -0,0 +1,211 @@
+//! One attempt at one backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Monotonic;
+use crate::connection::exchange::{BackendProtocol, Call, Exchange, Exchanged, Reply};
+use crate::connection::server_pool::{SURELY_ALIVE, Slot};
+use crate::ids::ServiceId;
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::servers::belief::{AttemptEnd, Beliefs, Standing, Ticket};
+use crate::process::servers::registry::LiveServer;
+use crate::process::tier::Tier;
+use crate::request::pick::{Candidate, Purpose, pick};
+use crate::request::shard_run::ShardRun;
+use crate::version::plan::{Repeat, Route};
+
+/// A connection that is not open after this is given up: it takes servers some milliseconds, and
+/// hosts that are gone never answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How much the choice between equal servers varies.
+const JITTER: f64 = 0.1;
+
+/// A request on its way, as all its attempts share it.
+#[derive(Debug)]
+pub struct Job {
+    /// What is passed on.
+    pub call: Call,
+    /// The route that took it.
+    pub route: Arc<Route>,
+    /// When it must be over.
+    pub deadline: Monotonic,
+    /// When an answer has its full worth at last.
+    pub answer_at: Monotonic,
+    /// The usual time of an attempt.
+    pub typical: Duration,
+}
+
+/// Chooses the server for the next attempt at a service.
+pub fn choose<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    service: &ServiceId,
+    run: &ShardRun,
+    purpose: Purpose,
+) -> Option<(Arc<LiveServer>, Standing)> {
+    let servers = tier.servers.load();
+    let now = tier.now();
+    let fleet = tier.fleet.load();
+    let plan = tier.plan.load();
+    let share = plan.connection_share(service, fleet.sharing);
+    let beliefs = tier.beliefs();
+    let candidate = |server: &Arc<LiveServer>| {
+        let id = &server.record.id;
+        let standing = beliefs.standing(now, id, server.record.slots, job.typical);
+        Candidate {
+            standing,
+            near: server.record.domain == tier.settings.domain,
+            tried: !run.allows(id, job.route.attempts),
+            full: !tier.pool.has_room(id, share),
+        }
+    };
+    let all = servers.of(service);
+    let candidates: Vec<Candidate> = all.iter().map(candidate).collect();
+    let jitter: Vec<f64> = all.iter().map(|_| JITTER.mul_add(rand::random::<f64>(), 1.0)).collect();
+    let n = pick(&candidates, purpose, job.route.latency_target, |n| jitter[n])?;
+    Some((all[n].clone(), candidates[n].standing))
+}
+
+/// Notes how an attempt ended, also when its future is dropped.
+struct Watch<'a, B: BackendProtocol> {
+    tier: &'a Tier<B>,
+    server: &'a LiveServer,
+    ticket: Ticket,
+    typical: Duration,
+    end: AttemptEnd,
+}
+
+impl<B: BackendProtocol> Drop for Watch<'_, B> {
+    fn drop(&mut self) {
+        let now = self.tier.now();
+        let id = &self.server.record.id;
+        let avoided = self.tier.beliefs().on_end(now, id, self.ticket, self.typical, self.end);
+        if avoided {
+            if matches!(self.end, AttemptEnd::Abandoned | AttemptEnd::Unreachable) {
+                self.tier.pool.distrust(now, id);
+            }
+            tracing::info!(
+                server = %id, service = %self.server.record.service, end = ?self.end,
+                "server avoided for a while"
+            );
+        }
+    }
+}
+
+/// Sends the request to a server and waits for the reply, which may be a failure of the server's.
+///
+/// The gate is read just before the request is handed over, so that a server that is draining or
+/// taken out by then gets nothing.
+pub async fn attempt<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    server: &LiveServer,
+    expected: Duration,
+) -> Outcome<Reply> {
+    let began_at = tier.now();
+    let id = &server.record.id;
+    let ticket = tier.beliefs().on_sent(began_at, id, expected);
+    let mut watch =
+        Watch { tier, server, ticket, typical: job.typical, end: AttemptEnd::Abandoned };
+    let outcome = run(tier, job, server, &mut watch).await;
+    let took = tier.now().saturating_sub(began_at);
+    watch.end = match &outcome {
+        Outcome::Answered(reply) if reply.is_success() || reply.status < 500 => {
+            AttemptEnd::Answered(took)
+        }
+        Outcome::Answered(_) | Outcome::Unknown(_) => AttemptEnd::Failed,
+        Outcome::NotRun(NotRunReason::Shed) => AttemptEnd::Shed,
+        Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::ServerLeaving) => {
+            AttemptEnd::Unreachable
+        }
+        Outcome::NotRun(_) => AttemptEnd::NotSent,
+    };
+    if matches!(&outcome, Outcome::Answered(reply) if reply.is_success()) {
+        let target = job.route.latency_target;
+        tier.beliefs().on_route_reply(&job.route.id, took, target);
+    }
+    outcome
+}
+
+async fn run<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    server: &LiveServer,
+    watch: &mut Watch<'_, B>,
+) -> Outcome<Reply> {
+    let id = &server.record.id;
+    // A request that may run once goes only over a connection that surely lives, because a reset
+    // on a stale one would leave open whether it ran.
+    let idle_for = match job.route.repeat {
+        Repeat::Idempotent => Duration::MAX,
+        Repeat::NonIdempotent => SURELY_ALIVE,
+    };
+    let mut idle = tier.pool.take(tier.now(), id, idle_for);
+    loop {
+        let reused = idle.is_some();
+        let (mut link, slot) = match idle.take() {
+            Some(link) => (link, Slot::of_taken(&tier.pool, id)),
+            None => match open(tier, job, server).await {
+                Ok(opened) => opened,
+                Err(reason) => return Outcome::NotRun(reason),
+            },
+        };
+        if !tier.servers.load().may_send(id) {
+            watch.end = AttemptEnd::NotSent;
+            return Outcome::NotRun(NotRunReason::Draining);
+        }
+        let began_at = tier.now();
+        let left = job.deadline.saturating_sub(began_at);
+        if left.is_zero() {
+            return Outcome::NotRun(NotRunReason::DeadlineTooClose);
+        }
+        let exchanged = link.exchange(&job.call, id, left).await;
+        if let Some(may_idle) = link.may_idle() {
+            slot.give_back(tier.now(), link, began_at, may_idle);
+        }
+        return match exchanged {
+            Exchanged::Reply(reply) => Outcome::Answered(reply),
+            Exchanged::Shed => Outcome::NotRun(NotRunReason::Shed),
+            Exchanged::WrongServer => Outcome::NotRun(NotRunReason::ServerLeaving),
+            Exchanged::Unsent if reused => continue,
+            Exchanged::Unsent => Outcome::NotRun(NotRunReason::Unreachable),
+            Exchanged::Lost(reason) => Outcome::Unknown(reason),
+        };
+    }
+}
+
+async fn open<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    server: &LiveServer,
+) -> Result<(B::Link, Slot<B::Link>), NotRunReason> {
+    let record = &server.record;
+    let share = tier.plan.load().connection_share(&record.service, tier.fleet.load().sharing);
+    let Some(slot) = tier.pool.reserve(&record.id, share) else {
+        return Err(NotRunReason::Overloaded);
+    };
+    let left = job.deadline.saturating_sub(tier.now()).min(CONNECT_TIMEOUT);
+    match tokio::time::timeout(left, tier.backend.connect(record.addr)).await {
+        Ok(Ok(link)) => Ok((link, slot)),
+        Ok(Err(error)) => {
+            tracing::debug!(server = %record.id, addr = %record.addr, %error, "no connection");
+            Err(NotRunReason::Unreachable)
+        }
+        Err(_) => Err(NotRunReason::Unreachable),
+    }
+}
+
+/// Returns how long an attempt may take before another one is worth trying.
+pub fn patience(standing: &Standing) -> Duration {
+    Beliefs::patience(standing.expected)
+}
+
+/// Forgets the reply of an outcome that is none for this purpose.
+pub fn failure_of(outcome: &Outcome<Reply>) -> Outcome<()> {
+    match outcome {
+        Outcome::Answered(_) => Outcome::Unknown(UnknownReason::BadReply),
+        Outcome::NotRun(reason) => Outcome::NotRun(*reason),
+        Outcome::Unknown(reason) => Outcome::Unknown(*reason),
+    }
+}
--- /dev/null
+++ b/src/request/entry.rs
@@ -0,0 +1,134 @@
+//! The way of a caller's request, from admission to answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::attempt::Job;
+use super::scatter::{Gathered, scatter};
+use super::single::single;
+use crate::clock::{Monotonic, millis};
+use crate::connection::exchange::{BackendProtocol, Call, Reply};
+use crate::outcome::{NotRunReason, Outcome};
+use crate::process::tier::Tier;
+use crate::version::plan::{Route, Target};
+
+/// What an answer needs for its way back to the caller before the latency target, and what timers
+/// and the processor may add.
+const WAY_BACK: Duration = Duration::from_millis(9);
+/// The answer goes out this much before the deadline, so that it still arrives.
+const END_MARGIN: Duration = Duration::from_millis(25);
+/// When a refused caller may come back: about when lost servers are replaced by others in the
+/// registry, and spread, so that callers do not return together.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(150);
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(250);
+
+/// A caller's request.
+#[derive(Debug)]
+pub struct Request {
+    /// What is passed on.
+    pub call: Call,
+    /// How long the caller waits, if it says so.
+    pub patience: Option<Duration>,
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Answer {
+    /// The reply of one server, unchanged.
+    Passed(Reply),
+    /// The parts of several.
+    Gathered(Gathered),
+    /// No route takes the request.
+    NoRoute,
+}
+
+/// What became of a request, and when a refused caller should come back.
+#[derive(Debug)]
+pub struct Served {
+    /// The outcome.
+    pub outcome: Outcome<Answer>,
+    /// When to come back after a refusal.
+    pub retry_after: Duration,
+}
+
+/// Serves one request; dropping the future ends all work on it.
+pub async fn serve<B: BackendProtocol>(tier: &Arc<Tier<B>>, request: Request) -> Served {
+    let _running = tier.count_running();
+    let plan = tier.plan.load_full();
+    let began_at = tier.now();
+    let retry_after = RETRY_AFTER_MIN + RETRY_AFTER_SPREAD.mul_f64(rand::random());
+    let refused = |reason| Served { outcome: Outcome::NotRun(reason), retry_after };
+    if plan.version == 0 {
+        return refused(NotRunReason::NotReady);
+    }
+    let path = request.call.path.split('?').next().unwrap_or_default();
+    let Some(route) = plan.route(&request.call.host, path) else {
+        tracing::info!(
+            request = %request.call.request_id, host = %request.call.host, path,
+            version = plan.version, "no route"
+        );
+        return Served { outcome: Outcome::Answered(Answer::NoRoute), retry_after };
+    };
+    let job = Arc::new(job(tier, route.clone(), request, began_at));
+    let outcome = match &job.route.target {
+        Target::Service(service) => single(tier, &job, service).await.map(Answer::Passed),
+        Target::Split(parts) => {
+            let service = tier.split().deal(&job.route.id, parts);
+            match service {
+                Some(service) => single(tier, &job, &service).await.map(Answer::Passed),
+                None => Outcome::NotRun(NotRunReason::NotReady),
+            }
+        }
+        Target::Gather(rule) => scatter(tier, &job, rule).await.map(Answer::Gathered),
+    };
+    log(tier, &job, &outcome, began_at, plan.version);
+    Served { outcome, retry_after }
+}
+
+fn job<B: BackendProtocol>(
+    tier: &Tier<B>,
+    route: Arc<Route>,
+    request: Request,
+    began_at: Monotonic,
+) -> Job {
+    let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+    // A later attempt of the caller's has less time left than the first had.
+    let used = request.patience.map_or(Duration::ZERO, |left| route.timeout.saturating_sub(left));
+    let target = route.latency_target;
+    let target_left = if used < target { target - used } else { target };
+    let typical = tier.beliefs().typical(&route.id, target);
+    Job {
+        call: request.call,
+        deadline: began_at + patience.saturating_sub(END_MARGIN.min(patience / 4)),
+        answer_at: began_at + target_left.saturating_sub(WAY_BACK),
+        typical,
+        route,
+    }
+}
+
+fn log<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    outcome: &Outcome<Answer>,
+    began_at: Monotonic,
+    version: u64,
+) {
+    let took = tier.now().saturating_sub(began_at);
+    let name = match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::NotRun(_) => "not_run",
+        Outcome::Unknown(_) => "unknown",
+    };
+    tier.metrics.request(&job.route.id, name, took.as_secs_f64() * 1e3);
+    let why = match outcome {
+        Outcome::Answered(_) if took <= job.route.latency_target => return,
+        Outcome::Answered(_) => "late".into(),
+        Outcome::NotRun(reason) => smol_str::format_smolstr!("{reason}"),
+        Outcome::Unknown(reason) => smol_str::format_smolstr!("{reason}"),
+    };
+    tracing::info!(
+        request = %job.call.request_id, route = %job.route.id, outcome = name, why = %why,
+        took_ms = millis(took), version, servers_revision = tier.servers.load().revision,
+        "request ended"
+    );
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,11 +1,18 @@
 //! What lives as long as one request.
 
+pub mod attempt;
 pub(crate) mod batch_call;
 pub mod choose;
 pub mod coordinator;
 pub mod coverage;
+pub mod entry;
 pub mod gather;
 pub mod http;
 pub mod keeper;
+pub mod pick;
 pub mod query;
+pub mod records;
 pub(crate) mod run;
+pub mod scatter;
+pub mod shard_run;
+pub mod single;
--- /dev/null
+++ b/src/request/pick/tests.rs
@@ -0,0 +1,93 @@
+use std::time::Duration;
+
+use super::{Candidate, Purpose, pick};
+use crate::process::servers::belief::Standing;
+
+const TARGET: Duration = Duration::from_millis(100);
+
+fn candidate(expected_ms: u64) -> Candidate {
+    Candidate {
+        standing: Standing {
+            expected: Duration::from_millis(expected_ms),
+            in_flight: 0,
+            stalled: false,
+            avoided: false,
+        },
+        near: true,
+        tried: false,
+        full: false,
+    }
+}
+
+fn stalled(mut candidate: Candidate) -> Candidate {
+    candidate.standing.stalled = true;
+    candidate
+}
+
+fn avoided(mut candidate: Candidate) -> Candidate {
+    candidate.standing.avoided = true;
+    candidate
+}
+
+#[test]
+fn the_soundest_server_is_picked() {
+    struct Case {
+        name: &'static str,
+        candidates: Vec<Candidate>,
+        needed: Option<usize>,
+        hedge: Option<usize>,
+    }
+    let far = |ms| Candidate { near: false, ..candidate(ms) };
+    let tried = |ms| Candidate { tried: true, ..candidate(ms) };
+    let full = |ms| Candidate { full: true, ..candidate(ms) };
+    let cases = [
+        Case {
+            name: "the faster",
+            candidates: vec![candidate(20), candidate(10)],
+            needed: Some(1),
+            hedge: Some(1),
+        },
+        Case {
+            name: "the near one of equals",
+            candidates: vec![far(10), candidate(15)],
+            needed: Some(1),
+            hedge: Some(1),
+        },
+        Case {
+            name: "the far one if the near one is slow",
+            candidates: vec![far(10), candidate(40)],
+            needed: Some(0),
+            hedge: Some(0),
+        },
+        Case {
+            name: "not the stalled one",
+            candidates: vec![stalled(candidate(10)), far(40)],
+            needed: Some(1),
+            hedge: Some(1),
+        },
+        Case {
+            name: "a stalled one if there is no other, but no hedge there",
+            candidates: vec![stalled(candidate(10)), tried(1)],
+            needed: Some(0),
+            hedge: None,
+        },
+        Case {
+            name: "stalled before avoided",
+            candidates: vec![avoided(candidate(10)), stalled(candidate(10))],
+            needed: Some(1),
+            hedge: None,
+        },
+        Case {
+            name: "never a tried or full one",
+            candidates: vec![tried(1), full(1)],
+            needed: None,
+            hedge: None,
+        },
+    ];
+    for case in cases {
+        let needed = pick(&case.candidates, Purpose::Needed, TARGET, |_| 1.0);
+        assert_eq!(needed, case.needed, "{}", case.name);
+        let hedge = pick(&case.candidates, Purpose::Hedge, TARGET, |_| 1.0);
+        assert_eq!(hedge, case.hedge, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/src/request/single.rs
@@ -0,0 +1,127 @@
+//! A request that one server answers.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use super::attempt::{Job, attempt, choose, failure_of, patience};
+use super::pick::Purpose;
+use super::shard_run::{Next, ShardRun};
+use crate::connection::exchange::{BackendProtocol, Reply};
+use crate::ids::ServiceId;
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::tier::Tier;
+use crate::version::plan::Repeat;
+
+/// Sends a request to one server of a service, and to others as its kind allows.
+///
+/// An idempotent one is tried again after any failure and beside an overdue attempt; another only
+/// where it provably did not run.
+pub async fn single<B: BackendProtocol>(
+    tier: &Arc<Tier<B>>,
+    job: &Arc<Job>,
+    service: &ServiceId,
+) -> Outcome<Reply> {
+    let idempotent = job.route.repeat == Repeat::Idempotent;
+    let attempts = job.route.attempts;
+    let mut run = ShardRun::default();
+    let mut running = FuturesUnordered::new();
+    let mut server_failure: Option<Reply> = None;
+    let deadline = tier.clock.instant(job.deadline);
+    let mut purpose = Some(Purpose::Needed);
+    loop {
+        if let Some(purpose) = purpose.take() {
+            let now = tier.now();
+            let chosen = choose(tier, job, service, &run, purpose);
+            let granted = chosen.filter(|_| granted(tier, service, &run));
+            match granted {
+                Some((server, standing)) => {
+                    run.on_sent(&server.record.id, now + patience(&standing));
+                    if !idempotent {
+                        run.on_no_more();
+                    }
+                    running.push(send(tier.clone(), job.clone(), server, standing.expected));
+                }
+                None if running.is_empty() => break,
+                None => run.on_no_more(),
+            }
+        }
+        let act_at = run.act_at().map(|at| tier.clock.instant(at));
+        tokio::select! {
+            biased;
+            Some((server, outcome)) = running.next() => {
+                let failed = match outcome {
+                    Outcome::Answered(reply) if reply.status < 500 || !idempotent => {
+                        tier.metrics.attempts("answered", 1);
+                        return Outcome::Answered(reply);
+                    }
+                    outcome => outcome,
+                };
+                let failure = failure_of(&failed);
+                tracing::info!(
+                    request = %job.call.request_id, route = %job.route.id, server = %server,
+                    failure = ?failure, "attempt failed"
+                );
+                if let Outcome::Answered(reply) = failed {
+                    server_failure = Some(reply);
+                }
+                let may_run_again = idempotent || matches!(failure, Outcome::NotRun(_));
+                let next = run.on_failure(tier.now(), &server, failure, attempts);
+                if !may_run_again {
+                    break;
+                }
+                if next == Next::Again {
+                    purpose = Some(Purpose::Needed);
+                } else if run.is_over() {
+                    break;
+                }
+            }
+            () = sleep_until(act_at) => {
+                purpose = Some(if run.is_running() { Purpose::Hedge } else { Purpose::Needed });
+                if !run.may_send(attempts) {
+                    run.on_no_more();
+                    purpose = None;
+                }
+            }
+            () = tokio::time::sleep_until(deadline) => break,
+        }
+    }
+    match (server_failure, run.unanswered()) {
+        (Some(reply), _) => Outcome::Answered(reply),
+        (None, Outcome::NotRun(reason)) => Outcome::NotRun(reason),
+        (None, Outcome::Unknown(reason)) => Outcome::Unknown(reason),
+        (None, Outcome::Answered(())) => Outcome::Unknown(UnknownReason::BadReply),
+    }
+}
+
+/// Takes an attempt beyond the first out of the budget; the first needs none.
+fn granted<B: BackendProtocol>(tier: &Tier<B>, service: &ServiceId, run: &ShardRun) -> bool {
+    let now = tier.now();
+    let sharing = tier.fleet.load().sharing;
+    let mut extra = tier.extra();
+    if run.offers() == 0 {
+        extra.on_first(now, service);
+        return true;
+    }
+    let nothing_arrived = matches!(run.failure(), Some(Outcome::NotRun(NotRunReason::Unreachable)))
+        && run.offers() == 1;
+    nothing_arrived || extra.try_spend(now, service, sharing)
+}
+
+async fn send<B: BackendProtocol>(
+    tier: Arc<Tier<B>>,
+    job: Arc<Job>,
+    server: Arc<crate::process::servers::registry::LiveServer>,
+    expected: std::time::Duration,
+) -> (crate::ids::ServerId, Outcome<Reply>) {
+    let outcome = attempt(&tier, &job, &server, expected).await;
+    (server.record.id.clone(), outcome)
+}
+
+async fn sleep_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -6,4 +6,5 @@
 pub mod operational;
 pub mod operations;
 pub mod placement;
+pub mod plan;
 pub mod questionnaire;
--- /dev/null
+++ b/src/version/plan/tests.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use smallvec::smallvec;
+
+use super::{GatherRule, Plan, PlanDocument, Repeat, Route, Target};
+
+fn route(id: &str, prefix: &str, target: Target) -> Route {
+    Route {
+        id: id.into(),
+        host: "search.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        timeout: Duration::from_secs(2),
+        latency_target: Duration::from_millis(200),
+        priority: 1,
+        target,
+    }
+}
+
+fn plan(routes: Vec<Route>) -> crate::Result<Plan> {
+    Plan::new(PlanDocument { version: 1, routes, ..PlanDocument::default() })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let plan = plan(vec![
+        route("short", "/a/", Target::Service("one".into())),
+        route("long", "/a/b/", Target::Service("two".into())),
+    ])
+    .expect("both routes are valid");
+    let cases = [
+        Case { host: "search.example", path: "/a/x", route: Some("short") },
+        Case { host: "search.example", path: "/a/b/x", route: Some("long") },
+        Case { host: "search.example", path: "/a/bx", route: Some("short") },
+        Case { host: "search.example", path: "/a", route: None },
+        Case { host: "other.example", path: "/a/x", route: None },
+    ];
+    for case in cases {
+        let found = plan.route(case.host, case.path).map(|route| route.id.as_str());
+        assert_eq!(found, case.route, "{}{}", case.host, case.path);
+    }
+}
+
+#[test]
+fn a_plan_that_can_not_be_served_is_refused() {
+    struct Case {
+        name: &'static str,
+        route: Route,
+        says: &'static str,
+    }
+    let gather = |floor| {
+        Target::Gather(GatherRule {
+            shards: ["s".into()].into(),
+            record_count: 5,
+            coverage_floor: floor,
+        })
+    };
+    let cases = [
+        Case {
+            name: "prefix",
+            route: route("r", "/a", Target::Service("s".into())),
+            says: "slash",
+        },
+        Case {
+            name: "weight",
+            route: route("r", "/a/", Target::Split(smallvec![("s".into(), 0.0)])),
+            says: "positive",
+        },
+        Case { name: "floor", route: route("r", "/a/", gather(1.5)), says: "0 to 1" },
+        Case {
+            name: "no service",
+            route: route("r", "/a/", Target::Split(smallvec![])),
+            says: "service",
+        },
+    ];
+    for case in cases {
+        let error = plan(vec![case.route]).expect_err(case.name);
+        assert!(error.to_string().contains(case.says), "{}: {error}", case.name);
+    }
+}
+
+#[test]
+fn the_floor_is_counted_in_whole_parts() {
+    struct Case {
+        shards: usize,
+        floor: f64,
+        needed: usize,
+    }
+    let cases = [
+        Case { shards: 20, floor: 0.89, needed: 18 },
+        Case { shards: 20, floor: 0.75, needed: 15 },
+        Case { shards: 90, floor: 0.95, needed: 86 },
+        Case { shards: 3, floor: 0.0, needed: 1 },
+        Case { shards: 3, floor: 1.0, needed: 3 },
+    ];
+    for case in cases {
+        let rule = GatherRule {
+            shards: vec!["s".into(); case.shards].into(),
+            record_count: 5,
+            coverage_floor: case.floor,
+        };
+        assert_eq!(rule.parts_needed(), case.needed, "{} of {}", case.floor, case.shards);
+    }
+}
