--- a/src/process/servers/belief/tests.rs
+++ b/src/process/servers/belief/tests.rs
@@ -30,37 +30,42 @@
 fn what_an_attempt_shows_moves_work_away_and_is_forgotten() {
     struct Case {
         name: &'static str,
-        ends: &'static [AttemptEnd],
+        ends: Vec<AttemptEnd>,
         avoided: bool,
         slower: bool,
     }
     let cases = [
         Case {
             name: "fast",
-            ends: &[AttemptEnd::Answered(TYPICAL)],
+            ends: vec![AttemptEnd::Answered(TYPICAL)],
             avoided: false,
             slower: false,
         },
         Case {
             name: "slow",
-            ends: &[AttemptEnd::Answered(Duration::from_millis(90))],
+            ends: vec![AttemptEnd::Answered(Duration::from_millis(90))],
             avoided: false,
             slower: true,
         },
-        Case { name: "unreachable", ends: &[AttemptEnd::Unreachable], avoided: true, slower: true },
-        Case { name: "one failure", ends: &[AttemptEnd::Failed], avoided: false, slower: true },
+        Case {
+            name: "unreachable",
+            ends: vec![AttemptEnd::Unreachable],
+            avoided: true,
+            slower: true,
+        },
+        Case { name: "one failure", ends: vec![AttemptEnd::Failed], avoided: false, slower: true },
         Case {
             name: "many failures",
-            ends: &[AttemptEnd::Failed, AttemptEnd::Shed, AttemptEnd::Failed],
+            ends: vec![AttemptEnd::Failed, AttemptEnd::Shed, AttemptEnd::Failed],
             avoided: true,
             slower: true,
         },
-        Case { name: "not sent", ends: &[AttemptEnd::NotSent], avoided: false, slower: false },
+        Case { name: "not sent", ends: vec![AttemptEnd::NotSent], avoided: false, slower: false },
     ];
     for case in cases {
         let server = ServerId::from("a");
         let mut beliefs = Beliefs::default();
-        for end in case.ends {
+        for end in &case.ends {
             let ticket = beliefs.on_sent(at(0), &server, TYPICAL);
             beliefs.on_end(at(1), &server, ticket, TYPICAL, *end);
         }
