Hedge by the pace of the request itself, not of its route

Cause: requests of a route differ much more in work than servers do, so that a threshold by the route's usual time came late for small requests and a server's speed was confused with the size of its requests. Ruled out: lack of hedges (one was sent in most cases), processor time. What: once half of the shards are in, their times are the pace; what is later than 1.6 times the pace is late, and servers are compared by the pace.

--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -35,7 +35,7 @@
 /// The share of the latency target that a request takes before any has been seen.
 const UNSEEN_SHARE_OF_TARGET: f64 = 0.2;
 /// The weight of one reply in a route's typical time.
-const TYPICAL_STEP: f64 = 0.02;
+const TYPICAL_STEP: f64 = 0.04;
 
 /// Names one attempt that is waited for.
 pub type Ticket = u64;
@@ -187,13 +187,31 @@
         ticket
     }
 
-    /// Takes in the end of an attempt; returns whether the server is newly avoided.
+    /// Takes in that a server has not answered while others that were asked the same have.
+    pub fn on_overdue(&mut self, now: Monotonic, server: &str) {
+        if let Some(belief) = self.servers.get_mut(server)
+            && let Some(oldest) = belief.waiting.first_mut()
+        {
+            oldest.overdue_at = oldest.overdue_at.min(now);
+        }
+    }
+
+    /// Takes in how long a reply took and how long the same request takes usually.
+    pub fn on_speed(&mut self, now: Monotonic, server: &str, took: Duration, usual: Duration) {
+        if let Some(belief) = self.servers.get_mut(server) {
+            belief.fade(now);
+            Self::note_speed(belief, took, usual);
+        }
+    }
+
+    /// Takes in the end of an attempt; returns whether the server is newly avoided. `usual` is how
+    /// long this request takes at a server, where that is known.
     pub fn on_end(
         &mut self,
         now: Monotonic,
         server: &str,
         ticket: Ticket,
-        typical: Duration,
+        usual: Option<Duration>,
         end: AttemptEnd,
     ) -> bool {
         let Some(belief) = self.servers.get_mut(server) else {
@@ -208,7 +226,9 @@
                 belief.failing *= 1.0 - FAILURE_WEIGHT;
                 belief.avoid_step = FIRST_AVOID;
                 belief.avoid_until = Monotonic::ZERO;
-                Self::note_speed(belief, took, typical);
+                if let Some(usual) = usual {
+                    Self::note_speed(belief, took, usual);
+                }
                 false
             }
             AttemptEnd::Shed => {
@@ -223,11 +243,12 @@
             }
             AttemptEnd::Abandoned => {
                 let waited = now.saturating_sub(sent_at.unwrap_or(now));
-                if waited > typical {
-                    Self::note_speed(belief, waited, typical);
-                }
-                let silent = belief.heard_at < sent_at.unwrap_or(now)
-                    && waited > Self::patience(typical) * 2;
+                let Some(usual) = usual.filter(|usual| waited > *usual) else {
+                    return false;
+                };
+                Self::note_speed(belief, waited, usual);
+                let silent =
+                    belief.heard_at < sent_at.unwrap_or(now) && waited > Self::patience(usual) * 2;
                 if silent {
                     belief.avoid(now);
                 }
@@ -237,8 +258,9 @@
         }
     }
 
-    /// Takes in the time of a whole reply for a route's typical time, which follows the median.
-    pub fn on_route_reply(&mut self, route: &RouteId, took: Duration, latency_target: Duration) {
+    /// Takes in how long a request took at a usual server, for the route's typical time, which
+    /// follows the median.
+    pub fn on_request(&mut self, route: &RouteId, took: Duration, latency_target: Duration) {
         let unseen = latency_target.mul_f64(UNSEEN_SHARE_OF_TARGET);
         if !self.typical.contains_key(route) {
             self.typical.insert(route.clone(), unseen);
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,9 +1,10 @@
 //! One attempt at one backend server.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use crate::clock::Monotonic;
+use crate::clock::{Monotonic, micros};
 use crate::connection::exchange::{BackendProtocol, Call, Exchange, Exchanged, Reply};
 use crate::connection::server_pool::{SURELY_ALIVE, Slot};
 use crate::ids::ServiceId;
@@ -32,8 +33,28 @@
     pub deadline: Monotonic,
     /// When an answer has its full worth at last.
     pub answer_at: Monotonic,
-    /// The usual time of an attempt.
+    /// The usual time of an attempt at any request of the route.
     pub typical: Duration,
+    /// How long this request takes at a usual server, once that shows.
+    pub pace: Pace,
+}
+
+/// How long one request takes at a usual server; requests of one route differ much more than
+/// servers do, so only this tells which server is slow.
+#[derive(Debug, Default)]
+pub struct Pace(AtomicU64);
+
+impl Pace {
+    /// Notes the pace.
+    pub fn set(&self, usual: Duration) {
+        self.0.store(micros(usual).max(1), Ordering::Relaxed);
+    }
+
+    /// Returns the pace, if it shows by now.
+    pub fn get(&self) -> Option<Duration> {
+        let usual_us = self.0.load(Ordering::Relaxed);
+        (usual_us > 0).then(|| Duration::from_micros(usual_us))
+    }
 }
 
 /// Chooses the server for the next attempt at a service.
@@ -72,7 +93,7 @@
     tier: &'a Tier<B>,
     server: &'a LiveServer,
     ticket: Ticket,
-    typical: Duration,
+    job: &'a Job,
     end: AttemptEnd,
 }
 
@@ -80,7 +101,8 @@
     fn drop(&mut self) {
         let now = self.tier.now();
         let id = &self.server.record.id;
-        let avoided = self.tier.beliefs().on_end(now, id, self.ticket, self.typical, self.end);
+        let avoided =
+            self.tier.beliefs().on_end(now, id, self.ticket, self.job.pace.get(), self.end);
         if avoided {
             if matches!(self.end, AttemptEnd::Abandoned | AttemptEnd::Unreachable) {
                 self.tier.pool.distrust(now, id);
@@ -106,8 +128,7 @@
     let began_at = tier.now();
     let id = &server.record.id;
     let ticket = tier.beliefs().on_sent(began_at, id, expected);
-    let mut watch =
-        Watch { tier, server, ticket, typical: job.typical, end: AttemptEnd::Abandoned };
+    let mut watch = Watch { tier, server, ticket, job, end: AttemptEnd::Abandoned };
     let outcome = run(tier, job, server, &mut watch).await;
     let took = tier.now().saturating_sub(began_at);
     watch.end = match &outcome {
@@ -121,10 +142,6 @@
         }
         Outcome::NotRun(_) => AttemptEnd::NotSent,
     };
-    if matches!(&outcome, Outcome::Answered(reply) if reply.is_success()) {
-        let target = job.route.latency_target;
-        tier.beliefs().on_route_reply(&job.route.id, took, target);
-    }
     outcome
 }
 
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::attempt::Job;
+use super::attempt::{Job, Pace};
 use super::scatter::{Gathered, scatter};
 use super::single::single;
 use crate::clock::{Monotonic, millis};
@@ -102,6 +102,7 @@
         deadline: began_at + patience.saturating_sub(END_MARGIN.min(patience / 4)),
         answer_at: began_at + target_left.saturating_sub(WAY_BACK),
         typical,
+        pace: Pace::default(),
         route,
     }
 }
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -24,6 +24,15 @@
 /// Attempts that still run when the answer is given may end within this time: closing their
 /// connections would cost new ones, and their replies show which servers speak again.
 const LINGER: Duration = Duration::from_millis(350);
+/// Once this share of the shards is in, their times show the pace of the request.
+const PACE_SHARE: f64 = 0.5;
+/// A server is late for this request beyond this many times the pace: servers differ by a third
+/// either way, and pauses last ten times as long.
+const LATE_FACTOR: f64 = 1.6;
+/// No server is late by less than this, since connections and timers vary as much.
+const MIN_LATE: Duration = Duration::from_millis(6);
+/// How soon a late shard without a fit server is looked at again.
+const RECHECK_LATE: Duration = Duration::from_millis(8);
 /// The most missing shards that a log line names.
 const MAX_NAMED: usize = 4;
 
@@ -46,11 +55,20 @@
     job: &'a Arc<Job>,
     shards: &'a [ServiceId],
     runs: Vec<ShardRun>,
+    firsts: Vec<Option<First>>,
     signatures: Vec<Signature>,
     records: TopRecords,
     extra: u32,
 }
 
+/// The first attempt at a shard.
+#[derive(Debug, Clone)]
+struct First {
+    server: ServerId,
+    sent_at: Monotonic,
+    took: Option<Duration>,
+}
+
 /// Sends a request to all shards of a route and gathers what comes in time.
 ///
 /// The answer is given when every shard is in, when nothing more can come, or at the latency
@@ -66,6 +84,7 @@
         job,
         shards: &rule.shards,
         runs: vec![ShardRun::default(); rule.shards.len()],
+        firsts: vec![None; rule.shards.len()],
         signatures: Vec::with_capacity(rule.shards.len()),
         records: TopRecords::new(rule.record_count),
         extra: 0,
@@ -103,6 +122,7 @@
             }
             () = sleep_until(act_at) => {
                 for shard in scatter.due() {
+                    scatter.note_overdue(shard);
                     let purpose = scatter.purpose(shard);
                     running.extend(started(scatter.start(shard, purpose)));
                 }
@@ -142,6 +162,16 @@
         (0..self.runs.len()).filter(due).collect()
     }
 
+    /// Notes that the server of a shard is late, so that other requests go elsewhere at once.
+    fn note_overdue(&self, shard: usize) {
+        if let Some(first) = &self.firsts[shard]
+            && self.runs[shard].offers() == 1
+            && self.runs[shard].is_running()
+        {
+            self.tier.beliefs().on_overdue(self.tier.now(), &first.server);
+        }
+    }
+
     fn purpose(&self, shard: usize) -> Purpose {
         if self.runs[shard].is_running() { Purpose::Hedge } else { Purpose::Needed }
     }
@@ -161,7 +191,11 @@
             return None;
         }
         let Some((server, standing)) = choose(self.tier, self.job, service, run, purpose) else {
-            run.on_no_server(now);
+            if run.is_running() {
+                run.look_again(now + RECHECK_LATE);
+            } else {
+                run.on_no_server(now);
+            }
             return None;
         };
         if run.offers() == 0 {
@@ -174,6 +208,10 @@
             }
             self.extra += 1;
         }
+        if run.offers() == 0 {
+            let server = server.record.id.clone();
+            self.firsts[shard] = Some(First { server, sent_at: now, took: None });
+        }
         run.on_sent(&server.record.id, now + patience(&standing));
         Some((shard, server, standing.expected))
     }
@@ -191,11 +229,45 @@
             run.on_answer();
             self.signatures.push(signature.clone());
             self.records.add(&reply.body);
+            self.on_time(shard, server);
             return Next::Wait;
         }
         run.on_failure(self.tier.now(), server, failure_of(&outcome), self.job.route.attempts)
     }
 
+    /// Takes in the time of an answer; when the pace of the request shows by it, the shards that
+    /// are late by that pace are looked at early.
+    fn on_time(&mut self, shard: usize, server: &ServerId) {
+        let now = self.tier.now();
+        if let Some(first) = self.firsts[shard].as_mut().filter(|first| first.server == *server) {
+            first.took = Some(now.saturating_sub(first.sent_at));
+        }
+        if self.job.pace.get().is_some() {
+            return;
+        }
+        let mut times: SmallVec<[Duration; 128]> =
+            self.firsts.iter().flatten().filter_map(|first| first.took).collect();
+        if (times.len() as f64) < self.shards.len() as f64 * PACE_SHARE {
+            return;
+        }
+        times.sort_unstable();
+        // Of the half that is in, the slowest third is nearest to the median of all.
+        let pace = times[times.len() * 5 / 6];
+        self.job.pace.set(pace);
+        let target = self.job.route.latency_target;
+        let mut beliefs = self.tier.beliefs();
+        beliefs.on_request(&self.job.route.id, pace, target);
+        let late_after = pace.mul_f64(LATE_FACTOR).max(pace + MIN_LATE);
+        for (run, first) in self.runs.iter_mut().zip(&self.firsts) {
+            let Some(first) = first else { continue };
+            if let Some(took) = first.took {
+                beliefs.on_speed(now, &first.server, took, pace);
+            } else if run.offers() == 1 && run.is_running() {
+                run.look_again(first.sent_at + late_after);
+            }
+        }
+    }
+
     fn finish(self, needed: usize) -> Outcome<Gathered> {
         let parts = self.signatures.len();
         let missing = self.shards.len() - parts;
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -106,6 +106,11 @@
         self.act_at = Some(now + RECHECK);
     }
 
+    /// Asks for another look at a time, if no reply comes before.
+    pub const fn look_again(&mut self, at: Monotonic) {
+        self.act_at = Some(at);
+    }
+
     /// Takes in that nothing more is to be tried beside what runs.
     pub const fn on_no_more(&mut self) {
         self.act_at = None;
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -25,6 +25,8 @@
 ) -> Outcome<Reply> {
     let idempotent = job.route.repeat == Repeat::Idempotent;
     let attempts = job.route.attempts;
+    let began_at = tier.now();
+    job.pace.set(job.typical);
     let mut run = ShardRun::default();
     let mut running = FuturesUnordered::new();
     let mut server_failure: Option<Reply> = None;
@@ -53,7 +55,9 @@
             Some((server, outcome)) = running.next() => {
                 let failed = match outcome {
                     Outcome::Answered(reply) if reply.status < 500 || !idempotent => {
-                        tier.metrics.attempts("answered", 1);
+                        let took = tier.now().saturating_sub(began_at);
+                        let target = job.route.latency_target;
+                        tier.beliefs().on_request(&job.route.id, took, target);
                         return Outcome::Answered(reply);
                     }
                     outcome => outcome,
