Hold fewer connections to a server, and name a later return to refused callers

Cause: after all hosts lost power each believed itself alone and opened up to a server's whole limit; connections of the former lives still counted, so servers reset 11,011 new ones, and callers spent their one retry while the registry was filling. Ruled out: entries that lapse alone (requests were sent and reset).

--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -11,6 +11,10 @@
 /// A connection on which a reply came this lately is taken to be alive.
 pub const SURELY_ALIVE: Duration = Duration::from_millis(700);
 
+/// A second idle connection to a server is closed when it was not needed for this long; servers
+/// count the connections of hosts that lost power until they notice, so few should be open.
+const SPARE_FOR: Duration = Duration::from_millis(1_500);
+
 #[derive(Debug)]
 struct IdleLink<L> {
     link: L,
@@ -86,13 +90,20 @@
         }
     }
 
-    /// Closes connections that may not be used any more, and forgets servers without any.
+    /// Closes connections that may not be used any more, and all but one of those that were not
+    /// needed for a while; forgets servers without any.
     pub fn sweep(&self, now: Monotonic, keep: impl Fn(&str) -> bool) {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         for (server, entry) in servers.iter_mut() {
             let wanted = keep(server);
             let before = entry.idle.len();
             entry.idle.retain(|idle| wanted && now < idle.usable_until);
+            let spare = entry.idle.len().saturating_sub(1);
+            let mut at = 0;
+            entry.idle.retain(|idle| {
+                at += 1;
+                at > spare || now.saturating_sub(idle.since) < SPARE_FOR
+            });
             entry.open = entry.open.saturating_sub(before - entry.idle.len());
         }
         servers.retain(|_, entry| entry.open > 0);
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -69,8 +69,10 @@
     let now = tier.now();
     let fleet = tier.fleet.load();
     let plan = tier.plan.load();
-    let share = plan.connection_share(service, fleet.sharing);
     let beliefs = tier.beliefs();
+    let share = |server: &LiveServer| {
+        plan.connection_share(service, server.record.slots, fleet.sharing)
+    };
     let candidate = |server: &Arc<LiveServer>| {
         let id = &server.record.id;
         let standing = beliefs.standing(now, id, server.record.slots, job.typical);
@@ -78,7 +80,7 @@
             standing,
             near: server.record.domain == tier.settings.domain,
             tried: !run.allows(id, job.route.attempts),
-            full: !tier.pool.has_room(id, share),
+            full: !tier.pool.has_room(id, share(server)),
         }
     };
     let all = servers.of(service);
@@ -198,7 +200,8 @@
     server: &LiveServer,
 ) -> Result<(B::Link, Slot<B::Link>), NotRunReason> {
     let record = &server.record;
-    let share = tier.plan.load().connection_share(&record.service, tier.fleet.load().sharing);
+    let sharing = tier.fleet.load().sharing;
+    let share = tier.plan.load().connection_share(&record.service, record.slots, sharing);
     let Some(slot) = tier.pool.reserve(&record.id, share) else {
         return Err(NotRunReason::Overloaded);
     };
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -17,10 +17,13 @@
 const WAY_BACK: Duration = Duration::from_millis(9);
 /// The answer goes out this much before the deadline, so that it still arrives.
 const END_MARGIN: Duration = Duration::from_millis(25);
-/// When a refused caller may come back: about when lost servers are replaced by others in the
-/// registry, and spread, so that callers do not return together.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(150);
-const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(250);
+/// When a caller that was refused for want of room may come back: after some usual requests.
+const BUSY_RETRY_MIN: Duration = Duration::from_millis(150);
+/// When a caller that was refused because servers are unknown or gone may come back: lost ones are
+/// replaced, and entries are back in the registry, within about two seconds.
+const GONE_RETRY_MIN: Duration = Duration::from_millis(600);
+/// Both are spread by this much, so that callers do not return together.
+const RETRY_SPREAD: Duration = Duration::from_millis(300);
 
 /// A caller's request.
 #[derive(Debug)]
@@ -51,15 +54,23 @@
     pub retry_after: Duration,
 }
 
+impl Served {
+    fn of(outcome: Outcome<Answer>) -> Self {
+        let least = match outcome {
+            Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::NotReady) => GONE_RETRY_MIN,
+            Outcome::NotRun(_) | Outcome::Answered(_) | Outcome::Unknown(_) => BUSY_RETRY_MIN,
+        };
+        Self { outcome, retry_after: least + RETRY_SPREAD.mul_f64(rand::random()) }
+    }
+}
+
 /// Serves one request; dropping the future ends all work on it.
 pub async fn serve<B: BackendProtocol>(tier: &Arc<Tier<B>>, request: Request) -> Served {
     let _running = tier.count_running();
     let plan = tier.plan.load_full();
     let began_at = tier.now();
-    let retry_after = RETRY_AFTER_MIN + RETRY_AFTER_SPREAD.mul_f64(rand::random());
-    let refused = |reason| Served { outcome: Outcome::NotRun(reason), retry_after };
-    if plan.version == 0 {
-        return refused(NotRunReason::NotReady);
+    if plan.version == 0 || tier.closing.is_cancelled() {
+        return Served::of(Outcome::NotRun(NotRunReason::NotReady));
     }
     let path = request.call.path.split('?').next().unwrap_or_default();
     let Some(route) = plan.route(&request.call.host, path) else {
@@ -67,7 +78,7 @@
             request = %request.call.request_id, host = %request.call.host, path,
             version = plan.version, "no route"
         );
-        return Served { outcome: Outcome::Answered(Answer::NoRoute), retry_after };
+        return Served::of(Outcome::Answered(Answer::NoRoute));
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at));
     let outcome = match &job.route.target {
@@ -82,7 +93,7 @@
         Target::Gather(rule) => scatter(tier, &job, rule).await.map(Answer::Gathered),
     };
     log(tier, &job, &outcome, began_at, plan.version);
-    Served { outcome, retry_after }
+    Served::of(outcome)
 }
 
 fn job<B: BackendProtocol>(
--- a/src/version/plan.rs
+++ b/src/version/plan.rs
@@ -191,10 +191,14 @@
         self.by_id.values()
     }
 
-    /// Returns the connections that one host may hold to one server of a service.
-    pub fn connection_share(&self, service: &str, hosts: usize) -> usize {
+    /// Returns the connections that one host may hold to one server of a service that works on
+    /// `slots` requests at a time, where `hosts` share the server.
+    ///
+    /// More than the slots and one to wait helps nobody; and connections of hosts that lost power
+    /// count at the server until it notices, so a host that knows no other yet takes no more.
+    pub fn connection_share(&self, service: &str, slots: u32, hosts: usize) -> usize {
         let max = self.services.get(service).map_or(1, |terms| terms.max_connections as usize);
-        (max / hosts.max(1)).max(1)
+        (max / hosts.max(1)).clamp(1, slots as usize + 1)
     }
 }
 
