Relay far shards by one host of each foreign failure domain, merged on the way

Ruled out: near preference alone (half of the shards have no near server). What: near shards directly; the others by as few domains as cover them, one frame each way, parts merged by the relay; parts that came together are chosen whole so that no shard counts twice.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -7,6 +7,8 @@
 pub(crate) mod http_client;
 pub mod links;
 pub mod peer;
+pub mod peer_frame;
+pub mod peer_links;
 pub(crate) mod peer_pool;
 pub mod platform;
 pub mod server_pool;
--- a/src/process/fleet/directory.rs
+++ b/src/process/fleet/directory.rs
@@ -18,10 +18,9 @@
 
 /// Returns the hosts for callers that stand in a failure domain, or in none that is known.
 pub fn hosts_for<B: BackendProtocol>(tier: &Tier<B>, domain: &str) -> Vec<Ipv4Addr> {
-    let me = tier
-        .is_ready()
-        .then_some((tier.settings.ip, tier.settings.domain_index(&tier.settings.domain)));
-    choose(&tier.fleet.load(), me, tier.settings.domain_index(domain), rand::random::<u16>().into())
+    let me =
+        tier.is_ready().then_some((tier.settings.ip, tier.domain_index(&tier.settings.domain)));
+    choose(&tier.fleet.load(), me, tier.domain_index(domain), rand::random::<u16>().into())
 }
 
 /// Chooses hosts of the domain first, and others only where it has too few.
--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -32,6 +32,9 @@
 /// The pause after a failure to connect, and its upper bound when it is doubled.
 const FIRST_AVOID: Duration = Duration::from_millis(200);
 const MAX_AVOID: Duration = Duration::from_millis(1_600);
+/// The pause after another host declined to send to a server; pauses of servers are about twice
+/// as long, and the other host is asked again in between.
+const DECLINED_AVOID: Duration = Duration::from_millis(100);
 /// The share of the latency target that a request takes before any has been seen.
 const UNSEEN_SHARE_OF_TARGET: f64 = 0.2;
 /// The weight of one reply in a route's typical time.
@@ -196,6 +199,12 @@
         }
     }
 
+    /// Takes in that another host, which knows the server better, would not send to it now.
+    pub fn on_declined(&mut self, now: Monotonic, server: &ServerId) {
+        let belief = self.servers.entry(server.clone()).or_insert_with(|| Belief::new(now));
+        belief.avoid_until = belief.avoid_until.max(now + DECLINED_AVOID);
+    }
+
     /// Takes in how long a reply took and how long the same request takes usually.
     pub fn on_speed(&mut self, now: Monotonic, server: &str, took: Duration, usual: Duration) {
         if let Some(belief) = self.servers.get_mut(server) {
--- a/src/process/suspicion.rs
+++ b/src/process/suspicion.rs
@@ -3,6 +3,7 @@
 //! A suspicion is local and cheap to be wrong about: it moves work, it never moves a seat.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 use crate::clock::Monotonic;
@@ -18,14 +19,22 @@
 }
 
 /// What one host thinks of the others.
-#[derive(Debug, Clone, Default)]
-pub struct Suspicion {
-    peers: HashMap<HostId, Peer>,
+///
+/// Hosts are named as the caller names them: by their configured name, or by their address.
+#[derive(Debug, Clone)]
+pub struct Suspicion<K = HostId> {
+    peers: HashMap<K, Peer>,
 }
 
-impl Suspicion {
+impl<K> Default for Suspicion<K> {
+    fn default() -> Self {
+        Self { peers: HashMap::new() }
+    }
+}
+
+impl<K: Eq + Hash + Clone> Suspicion<K> {
     /// Takes in a sign of life.
-    pub fn on_heard(&mut self, now: Monotonic, host: &HostId) {
+    pub fn on_heard(&mut self, now: Monotonic, host: &K) {
         let peer = self.peers.entry(host.clone()).or_default();
         peer.heard_at = now;
         peer.suspected_at = None;
@@ -33,7 +42,7 @@
 
     /// Takes in that a call sent at `sent_at` has had no answer when it should; returns whether
     /// the host is newly suspected.
-    pub fn on_late(&mut self, now: Monotonic, host: &HostId, sent_at: Monotonic) -> bool {
+    pub fn on_late(&mut self, now: Monotonic, host: &K, sent_at: Monotonic) -> bool {
         let peer = self.peers.entry(host.clone()).or_default();
         if peer.heard_at > sent_at {
             return false;
@@ -44,7 +53,7 @@
     }
 
     /// Tells whether work should go elsewhere.
-    pub fn is_suspect(&self, now: Monotonic, host: &HostId) -> bool {
+    pub fn is_suspect(&self, now: Monotonic, host: &K) -> bool {
         let since = self.peers.get(host).and_then(|peer| peer.suspected_at);
         since.is_some_and(|since| now < since + TRY_AGAIN_AFTER)
     }
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -1,5 +1,6 @@
 //! What every request of a running host shares: the plan, the servers, the fleet and beliefs.
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -14,10 +15,12 @@
 use super::servers::extra_budget::{ExtraBudget, ExtraLimit};
 use super::servers::registry::{Change, Registry, ServerView};
 use super::servers::split::SplitDealer;
+use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::BackendProtocol;
+use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
-use crate::ids::{DomainId, Revision};
+use crate::ids::{ConfigVersion, DomainId, Revision};
 use crate::version::plan::Plan;
 
 /// Servers that were not used for this long are forgotten.
@@ -63,6 +66,8 @@
     pub backend: B,
     /// Connections to backend servers.
     pub pool: Arc<ServerPool<B::Link>>,
+    /// Connections to other hosts.
+    pub peers: PeerLinks,
     /// The plan in force; requests pin it when they are admitted.
     pub plan: ArcSwap<Plan>,
     /// The servers that may get work, read anew at every send.
@@ -76,9 +81,11 @@
     /// Set once the host stops.
     pub stopped: CancellationToken,
     pub(crate) metrics: Metrics,
+    domains: HashMap<DomainId, DomainIndex>,
     registry: Mutex<Registry>,
     members: Mutex<Members>,
     beliefs: Mutex<Beliefs>,
+    suspicion: Mutex<Suspicion<Ipv4Addr>>,
     extra: Mutex<ExtraBudget>,
     split: Mutex<SplitDealer>,
     running: AtomicU32,
@@ -88,6 +95,8 @@
     /// Starts without a plan, servers or other hosts.
     pub fn new(settings: TierSettings, backend: B) -> Self {
         let clock = Clock::start();
+        let index = |domain: &DomainId| (domain.clone(), settings.domain_index(domain));
+        let domains: HashMap<_, _> = settings.domains.iter().map(index).collect();
         let me = Heartbeat {
             ip: settings.ip,
             life: 1,
@@ -106,6 +115,7 @@
             backend,
             settings,
             pool: Arc::default(),
+            peers: PeerLinks::default(),
             plan: ArcSwap::default(),
             servers: ArcSwap::default(),
             fleet: ArcSwap::from_pointee(FleetView { up: Vec::new(), sharing: 1 }),
@@ -113,8 +123,10 @@
             closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
             metrics: Metrics::new(),
+            domains,
             registry: Mutex::default(),
             beliefs: Mutex::default(),
+            suspicion: Mutex::default(),
             split: Mutex::default(),
             running: AtomicU32::new(0),
         }
@@ -140,6 +152,42 @@
         self.split.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the place of a failure domain in the sorted list of all.
+    pub fn domain_index(&self, domain: &str) -> DomainIndex {
+        self.domains.get(domain).copied().unwrap_or(DomainIndex::MAX)
+    }
+
+    /// Returns the host that should relay requests to a failure domain: up, with the same plan, and
+    /// with the fewest calls of this host for its weight.
+    pub fn relay_in(&self, domain: DomainIndex, version: ConfigVersion) -> Option<Ipv4Addr> {
+        let now = self.now();
+        let fleet = self.fleet.load();
+        let suspicion = self.suspicion();
+        let fit = |h: &&Heartbeat| h.version == version && !suspicion.is_suspect(now, &h.ip);
+        let cost = |h: &Heartbeat| {
+            let calls = self.peers.waiting(h.ip) as f64 + rand::random::<f64>();
+            calls / f64::from(h.weight.max(1))
+        };
+        let fit = fleet.working_in(domain).filter(fit).map(|h| (h.ip, cost(h)));
+        fit.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(ip, _)| ip)
+    }
+
+    /// Takes in that a host has not answered a call sent at `sent_at`. A host that was suspected
+    /// before and has not been heard since gets a new connection: the old one may be silent.
+    pub fn on_host_late(&self, host: Ipv4Addr, sent_at: Monotonic) {
+        let newly = self.suspicion().on_late(self.now(), &host, sent_at);
+        if newly {
+            tracing::info!(%host, "no answer in time; work goes elsewhere");
+        } else {
+            self.peers.drop_link(host);
+        }
+    }
+
+    /// Returns which hosts have not answered lately.
+    pub fn suspicion(&self) -> MutexGuard<'_, Suspicion<Ipv4Addr>> {
+        self.suspicion.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the members of the fleet.
     pub fn members(&self) -> MutexGuard<'_, Members> {
         self.members.lock().expect("no holder of the lock panics")
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use crate::clock::{Monotonic, micros};
 use crate::connection::exchange::{BackendProtocol, Call, Exchange, Exchanged, Reply};
 use crate::connection::server_pool::{SURELY_ALIVE, Slot};
-use crate::ids::ServiceId;
+use crate::ids::{ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::servers::belief::{AttemptEnd, Beliefs, Standing, Ticket};
 use crate::process::servers::registry::LiveServer;
@@ -66,28 +68,59 @@
     purpose: Purpose,
 ) -> Option<(Arc<LiveServer>, Standing)> {
     let servers = tier.servers.load();
+    let all = servers.of(service);
+    let candidates = candidates(tier, job, all, |id| !run.allows(id, job.route.attempts));
+    pick_among(job, all, &candidates, purpose)
+}
+
+/// Chooses a server of this host's own failure domain for a request of another host, or none where
+/// that host had better look elsewhere.
+pub fn choose_near<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    service: &ServiceId,
+) -> Option<(Arc<LiveServer>, Standing)> {
+    let servers = tier.servers.load();
+    let near = |server: &&Arc<LiveServer>| server.record.domain == tier.settings.domain;
+    let all: SmallVec<[Arc<LiveServer>; 4]> =
+        servers.of(service).iter().filter(near).cloned().collect();
+    let candidates = candidates(tier, job, &all, |_| false);
+    pick_among(job, &all, &candidates, Purpose::Hedge)
+}
+
+fn candidates<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    servers: &[Arc<LiveServer>],
+    tried: impl Fn(&ServerId) -> bool,
+) -> SmallVec<[Candidate; 4]> {
     let now = tier.now();
-    let fleet = tier.fleet.load();
+    let sharing = tier.fleet.load().sharing;
     let plan = tier.plan.load();
     let beliefs = tier.beliefs();
-    let share = |server: &LiveServer| {
-        plan.connection_share(service, server.record.slots, fleet.sharing)
-    };
     let candidate = |server: &Arc<LiveServer>| {
-        let id = &server.record.id;
-        let standing = beliefs.standing(now, id, server.record.slots, job.typical);
+        let record = &server.record;
+        let share = plan.connection_share(&record.service, record.slots, sharing);
         Candidate {
-            standing,
-            near: server.record.domain == tier.settings.domain,
-            tried: !run.allows(id, job.route.attempts),
-            full: !tier.pool.has_room(id, share(server)),
+            standing: beliefs.standing(now, &record.id, record.slots, job.typical),
+            near: record.domain == tier.settings.domain,
+            tried: tried(&record.id),
+            full: !tier.pool.has_room(&record.id, share),
         }
     };
-    let all = servers.of(service);
-    let candidates: Vec<Candidate> = all.iter().map(candidate).collect();
-    let jitter: Vec<f64> = all.iter().map(|_| JITTER.mul_add(rand::random::<f64>(), 1.0)).collect();
-    let n = pick(&candidates, purpose, job.route.latency_target, |n| jitter[n])?;
-    Some((all[n].clone(), candidates[n].standing))
+    servers.iter().map(candidate).collect()
+}
+
+fn pick_among(
+    job: &Job,
+    servers: &[Arc<LiveServer>],
+    candidates: &[Candidate],
+    purpose: Purpose,
+) -> Option<(Arc<LiveServer>, Standing)> {
+    let jitter: SmallVec<[f64; 4]> =
+        servers.iter().map(|_| JITTER.mul_add(rand::random::<f64>(), 1.0)).collect();
+    let n = pick(candidates, purpose, job.route.latency_target, |n| jitter[n])?;
+    Some((servers[n].clone(), candidates[n].standing))
 }
 
 /// Notes how an attempt ended, also when its future is dropped.
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -90,7 +90,7 @@
                 None => Outcome::NotRun(NotRunReason::NotReady),
             }
         }
-        Target::Gather(rule) => scatter(tier, &job, rule).await.map(Answer::Gathered),
+        Target::Gather(rule) => scatter(tier, &job, rule, plan.version).await.map(Answer::Gathered),
     };
     log(tier, &job, &outcome, began_at, plan.version);
     Served::of(outcome)
--- /dev/null
+++ b/src/request/relay.rs
@@ -0,0 +1,311 @@
+//! Serves the calls of other hosts: sends their requests to near servers and returns the parts.
+//!
+//! What is in goes back in few frames, merged to the records that the answer can hold, so that
+//! one way between failure domains carries many parts. See `docs/PLATFORM.md`, section "Relays".
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::stream::FuturesUnordered;
+use futures::{SinkExt, StreamExt};
+use smallvec::SmallVec;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+use tokio_util::sync::CancellationToken;
+
+use super::attempt::{Job, Pace, attempt, choose_near, failure_of};
+use super::records::TopRecords;
+use super::scatter::{LATE_FACTOR, LINGER, MIN_LATE, PACE_SHARE};
+use super::timer::sleep_until;
+use crate::clock::{Monotonic, micros};
+use crate::connection::exchange::{BackendProtocol, Reply};
+use crate::connection::peer_frame::{
+    CallId, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode, encode,
+};
+use crate::ids::ServerId;
+use crate::outcome::{NotRunReason, Outcome};
+use crate::process::tier::Tier;
+use crate::version::plan::{GatherRule, Target};
+
+/// Frames that may wait to be written to one host.
+const MAX_WAITING_FRAMES: usize = 512;
+/// After the first frame, parts that come within this are returned together.
+const COALESCE: Duration = Duration::from_millis(4);
+/// The pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+type Running = Arc<Mutex<HashMap<CallId, CancellationToken>>>;
+
+/// Serves calls of other hosts until the host stops.
+///
+/// # Errors
+///
+/// Returns what the operating system said where the port can't be bound.
+pub async fn serve<B: BackendProtocol>(tier: Arc<Tier<B>>) -> io::Result<()> {
+    let listener = TcpListener::bind((tier.settings.ip, tier.settings.peer_port)).await?;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = tier.stopped.cancelled() => return Ok(()),
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(tier.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "connection of a host not accepted");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection<B: BackendProtocol>(tier: Arc<Tier<B>>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a host's connection stays with delays");
+    }
+    let (mut sink, mut stream) = Framed::new(stream, codec()).split();
+    let (frames, mut outgoing) = mpsc::channel::<Frame>(MAX_WAITING_FRAMES);
+    let running = Running::default();
+    let send = async {
+        while let Some(frame) = outgoing.recv().await {
+            if sink.send(encode(&frame)).await.is_err() {
+                return;
+            }
+        }
+    };
+    let receive = async {
+        while let Some(Ok(bytes)) = stream.next().await {
+            match decode(&bytes) {
+                Some(Frame::Call(call)) => start(&tier, call, &frames, &running),
+                Some(Frame::Cancel(id)) => {
+                    let call = running.lock().expect("no holder of the lock panics").remove(&id);
+                    if let Some(call) = call {
+                        call.cancel();
+                    }
+                }
+                Some(Frame::Parts(_)) | None => {
+                    tracing::warn!("a host sent a frame that makes no sense");
+                    return;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = send => {}
+        () = receive => {}
+    }
+    // Whoever asked is gone; nothing of it is wanted any more.
+    for call in running.lock().expect("no holder of the lock panics").values() {
+        call.cancel();
+    }
+}
+
+fn start<B: BackendProtocol>(
+    tier: &Arc<Tier<B>>,
+    call: RelayCall,
+    frames: &mpsc::Sender<Frame>,
+    running: &Running,
+) {
+    let token = CancellationToken::new();
+    running.lock().expect("no holder of the lock panics").insert(call.id, token.clone());
+    let (tier, frames, running) = (tier.clone(), frames.clone(), running.clone());
+    tokio::spawn(async move {
+        let id = call.id;
+        Relayed::run(tier, call, frames, token).await;
+        running.lock().expect("no holder of the lock panics").remove(&id);
+    });
+}
+
+/// One call while it runs.
+struct Relayed {
+    id: CallId,
+    began_at: Monotonic,
+    keep: usize,
+    frames: mpsc::Sender<Frame>,
+    next: RelayParts,
+    records: TopRecords,
+}
+
+impl Relayed {
+    async fn run<B: BackendProtocol>(
+        tier: Arc<Tier<B>>,
+        call: RelayCall,
+        frames: mpsc::Sender<Frame>,
+        cancelled: CancellationToken,
+    ) {
+        let began_at = tier.now();
+        let plan = tier.plan.load_full();
+        let route = plan.route_named(&call.route).filter(|_| plan.version == call.version);
+        let rule = route.and_then(|route| match &route.target {
+            Target::Gather(rule) => Some(rule),
+            Target::Service(_) | Target::Split(_) => None,
+        });
+        let keep = rule.map_or(0, |rule| rule.record_count);
+        let mut relayed = Self {
+            id: call.id,
+            began_at,
+            keep,
+            frames,
+            next: empty(call.id),
+            records: TopRecords::new(keep),
+        };
+        let request = call.request.into_call();
+        let (Some(route), Some(rule), Some(request)) = (route, rule, request) else {
+            // Without the same plan nothing is sent; the other host does it itself.
+            call.shards.iter().for_each(|shard| relayed.declined(*shard));
+            relayed.flush(&tier, None).await;
+            return;
+        };
+        let deadline = began_at + Duration::from_millis(u64::from(call.left_ms));
+        let job = Arc::new(Job {
+            call: request,
+            deadline,
+            answer_at: deadline,
+            typical: tier.beliefs().typical(&route.id, route.latency_target),
+            pace: Pace::default(),
+            route: route.clone(),
+        });
+        relayed.gather(&tier, &job, rule, &call.shards, &cancelled).await;
+    }
+
+    async fn gather<B: BackendProtocol>(
+        &mut self,
+        tier: &Arc<Tier<B>>,
+        job: &Arc<Job>,
+        rule: &GatherRule,
+        shards: &[ShardIndex],
+        cancelled: &CancellationToken,
+    ) {
+        let mut running = FuturesUnordered::new();
+        let mut open: SmallVec<[(ShardIndex, ServerId); 16]> = SmallVec::new();
+        for shard in shards {
+            let service = rule.shards.get(usize::from(*shard));
+            let chosen = service.and_then(|service| choose_near(tier, job, service));
+            match chosen {
+                Some((server, standing)) => {
+                    open.push((*shard, server.record.id.clone()));
+                    let (tier, job, shard) = (tier.clone(), job.clone(), *shard);
+                    running.push(async move {
+                        let outcome = attempt(&tier, &job, &server, standing.expected).await;
+                        (shard, server.record.id.clone(), outcome)
+                    });
+                }
+                None => self.declined(*shard),
+            }
+        }
+        let sent = running.len();
+        let mut times: Vec<(ServerId, Duration)> = Vec::with_capacity(sent);
+        let mut flush_at = (!self.next.failed.is_empty()).then_some(self.began_at);
+        loop {
+            if running.is_empty() {
+                self.flush(tier, job.pace.get()).await;
+                return;
+            }
+            let flush = flush_at.map(|at| tier.clock.instant(at));
+            tokio::select! {
+                biased;
+                Some((shard, server, outcome)) = running.next() => {
+                    let took = tier.now().saturating_sub(self.began_at);
+                    open.retain(|(waiting, _)| *waiting != shard);
+                    if self.on_end(shard, &server, &outcome) {
+                        times.push((server, took));
+                        note_pace(tier, job, &times, sent);
+                    } else {
+                        flush_at = Some(tier.now());
+                    }
+                    let late = job.pace.get().map(|pace| late_after(pace) + self.began_at);
+                    flush_at = flush_at.or_else(|| late.map(|at| at.max(tier.now() + COALESCE)));
+                }
+                () = sleep_until(flush) => {
+                    let now = tier.now();
+                    if job.pace.get().is_some_and(|pace| now >= self.began_at + late_after(pace)) {
+                        let mut beliefs = tier.beliefs();
+                        open.iter().for_each(|(_, server)| beliefs.on_overdue(now, server));
+                    }
+                    self.flush(tier, job.pace.get()).await;
+                    flush_at = None;
+                }
+                () = cancelled.cancelled() => break,
+            }
+        }
+        // The others may end: closing their connections would cost new ones.
+        let all = async { while running.next().await.is_some() {} };
+        let _ = tokio::time::timeout(LINGER, all).await;
+    }
+
+    /// Takes in the end of an attempt; returns whether it brought a part.
+    fn on_end(&mut self, shard: ShardIndex, server: &ServerId, outcome: &Outcome<Reply>) -> bool {
+        if let Outcome::Answered(reply) = outcome
+            && reply.is_success()
+            && let Some(signature) = &reply.signature
+        {
+            self.next.parts.push((shard, signature.clone()));
+            self.records.add(&reply.body);
+            return true;
+        }
+        let server = Some(server.clone());
+        self.next.failed.push(RelayFailure { shard, server, outcome: failure_of(outcome) });
+        false
+    }
+
+    fn declined(&mut self, shard: ShardIndex) {
+        let outcome = Outcome::NotRun(NotRunReason::NotOwner);
+        self.next.failed.push(RelayFailure { shard, server: None, outcome });
+    }
+
+    async fn flush<B: BackendProtocol>(&mut self, tier: &Tier<B>, pace: Option<Duration>) {
+        if self.next.parts.is_empty() && self.next.failed.is_empty() {
+            return;
+        }
+        let micros = |time| u32::try_from(micros(time)).unwrap_or(u32::MAX);
+        let mut parts = std::mem::replace(&mut self.next, empty(self.id));
+        let records = std::mem::replace(&mut self.records, TopRecords::new(self.keep));
+        parts.records = records.into_bytes().to_vec();
+        parts.pace_us = pace.map_or(0, micros);
+        parts.elapsed_us = micros(tier.now().saturating_sub(self.began_at));
+        // A host that is gone has no use for the parts.
+        let _ = self.frames.send(Frame::Parts(parts)).await;
+    }
+}
+
+fn empty(id: CallId) -> RelayParts {
+    RelayParts {
+        id,
+        pace_us: 0,
+        elapsed_us: 0,
+        parts: SmallVec::new(),
+        records: Vec::new(),
+        failed: SmallVec::new(),
+    }
+}
+
+/// Returns how long after the sending a server is late for a request of this pace.
+pub fn late_after(pace: Duration) -> Duration {
+    pace.mul_f64(LATE_FACTOR).max(pace + MIN_LATE)
+}
+
+/// Notes the pace of the request once enough parts show it, and the speeds of their servers.
+fn note_pace<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    times: &[(ServerId, Duration)],
+    sent: usize,
+) {
+    if job.pace.get().is_some() || (times.len() as f64) < sent as f64 * PACE_SHARE {
+        return;
+    }
+    let mut sorted: Vec<Duration> = times.iter().map(|(_, took)| *took).collect();
+    sorted.sort_unstable();
+    let pace = sorted[sorted.len() * 5 / 6];
+    job.pace.set(pace);
+    let now = tier.now();
+    let mut beliefs = tier.beliefs();
+    beliefs.on_request(&job.route.id, pace, job.route.latency_target);
+    for (server, took) in times {
+        beliefs.on_speed(now, server, *took, pace);
+    }
+}
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -10,27 +10,36 @@
 use smol_str::SmolStr;
 
 use super::attempt::{Job, attempt, choose, failure_of, patience};
+use super::parts::Parts;
 use super::pick::Purpose;
-use super::records::TopRecords;
+use super::relay::late_after;
 use super::shard_run::{Next, ShardRun};
+use super::timer::sleep_until;
+use super::way::{Group, Send, Way, group_far, start_relay};
 use crate::clock::Monotonic;
 use crate::connection::exchange::{BackendProtocol, Reply, Signature};
+use crate::connection::peer_frame::RelayParts;
+use crate::connection::peer_links::PendingCall;
 use crate::ids::{ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::process::servers::registry::LiveServer;
 use crate::process::tier::Tier;
 use crate::version::plan::GatherRule;
 
 /// Attempts that still run when the answer is given may end within this time: closing their
 /// connections would cost new ones, and their replies show which servers speak again.
-const LINGER: Duration = Duration::from_millis(350);
+pub(crate) const LINGER: Duration = Duration::from_millis(350);
 /// Once this share of the shards is in, their times show the pace of the request.
-const PACE_SHARE: f64 = 0.5;
-/// A server is late for this request beyond this many times the pace: servers differ by a third
+pub(crate) const PACE_SHARE: f64 = 0.5;
+/// A server is late for a request beyond this many times the pace: servers differ by a third
 /// either way, and pauses last ten times as long.
-const LATE_FACTOR: f64 = 1.6;
+pub(crate) const LATE_FACTOR: f64 = 1.6;
 /// No server is late by less than this, since connections and timers vary as much.
-const MIN_LATE: Duration = Duration::from_millis(6);
+pub(crate) const MIN_LATE: Duration = Duration::from_millis(6);
+/// What a relay may take beyond the servers that it asks: two ways between failure domains and its
+/// own processing.
+const RELAY_GRACE: Duration = Duration::from_millis(8);
+/// A relay that has returned nothing by then is taken to be silent.
+const RELAY_SILENCE: Duration = Duration::from_millis(60);
 /// How soon a late shard without a fit server is looked at again.
 const RECHECK_LATE: Duration = Duration::from_millis(8);
 /// The most missing shards that a log line names.
@@ -47,28 +56,35 @@
     pub records: Bytes,
 }
 
-type Ended = (usize, ServerId, Outcome<Reply>);
+/// Something that happened to an attempt.
+enum Event {
+    Direct(usize, ServerId, Outcome<Reply>),
+    Relayed(usize, PendingCall, Option<RelayParts>),
+}
+
+/// The first attempt at a shard.
+#[derive(Debug, Clone)]
+struct First {
+    server: ServerId,
+    sent_at: Monotonic,
+    relayed: bool,
+    took: Option<Duration>,
+}
 
 /// The shards of one request and the parts that are in.
 struct Scatter<'a, B: BackendProtocol> {
     tier: &'a Arc<Tier<B>>,
     job: &'a Arc<Job>,
     shards: &'a [ServiceId],
+    version: u64,
     runs: Vec<ShardRun>,
     firsts: Vec<Option<First>>,
-    signatures: Vec<Signature>,
-    records: TopRecords,
+    groups: Vec<Group>,
+    parts: Parts,
+    record_count: usize,
     extra: u32,
 }
 
-/// The first attempt at a shard.
-#[derive(Debug, Clone)]
-struct First {
-    server: ServerId,
-    sent_at: Monotonic,
-    took: Option<Duration>,
-}
-
 /// Sends a request to all shards of a route and gathers what comes in time.
 ///
 /// The answer is given when every shard is in, when nothing more can come, or at the latency
@@ -77,55 +93,49 @@
     tier: &Arc<Tier<B>>,
     job: &Arc<Job>,
     rule: &GatherRule,
+    version: u64,
 ) -> Outcome<Gathered> {
     let needed = rule.parts_needed();
     let mut scatter = Scatter {
         tier,
         job,
         shards: &rule.shards,
+        version,
         runs: vec![ShardRun::default(); rule.shards.len()],
         firsts: vec![None; rule.shards.len()],
-        signatures: Vec::with_capacity(rule.shards.len()),
-        records: TopRecords::new(rule.record_count),
+        groups: Vec::new(),
+        parts: Parts::default(),
+        record_count: rule.record_count,
         extra: 0,
     };
     if scatter.reachable() < needed {
         return Outcome::NotRun(NotRunReason::Unreachable);
     }
-    let mut running = FuturesUnordered::new();
-    let started = |sent: Option<(usize, Arc<LiveServer>, Duration)>| {
-        sent.map(|(shard, server, expected)| {
-            send(tier.clone(), job.clone(), shard, server, expected)
-        })
-    };
-    for shard in 0..rule.shards.len() {
-        running.extend(started(scatter.start(shard, Purpose::Needed)));
-    }
+    let first: Vec<Send> =
+        (0..rule.shards.len()).filter_map(|n| scatter.start(n, Purpose::Needed)).collect();
+    let mut running: FuturesUnordered<_> = scatter.send(first).into_iter().map(wait).collect();
     let answer_at = tier.clock.instant(job.answer_at);
     let deadline = tier.clock.instant(job.deadline);
     loop {
-        let parts = scatter.signatures.len();
+        let parts = scatter.parts.covered();
         let enough = parts >= needed;
         if parts == rule.shards.len() || (enough && tier.now() >= job.answer_at) {
             break;
         }
-        if scatter.hopeful() < needed || (enough && scatter.hopeful() == parts) {
+        let hopeful = scatter.hopeful();
+        if hopeful < needed || (enough && hopeful == parts) {
             break;
         }
         let act_at = scatter.act_at().map(|at| tier.clock.instant(at));
         tokio::select! {
             biased;
-            Some((shard, server, outcome)) = running.next() => {
-                if scatter.on_end(shard, &server, outcome) == Next::Again {
-                    running.extend(started(scatter.start(shard, Purpose::Needed)));
-                }
+            Some(event) = running.next() => {
+                let (sends, again) = scatter.on_event(event);
+                running.extend(scatter.send(sends).into_iter().chain(again).map(wait));
             }
             () = sleep_until(act_at) => {
-                for shard in scatter.due() {
-                    scatter.note_overdue(shard);
-                    let purpose = scatter.purpose(shard);
-                    running.extend(started(scatter.start(shard, purpose)));
-                }
+                let sends = scatter.on_due();
+                running.extend(scatter.send(sends).into_iter().map(wait));
             }
             () = tokio::time::sleep_until(answer_at), if enough => {}
             () = tokio::time::sleep_until(deadline) => break,
@@ -140,6 +150,19 @@
     scatter.finish(needed)
 }
 
+async fn wait<B: BackendProtocol>(way: Way<B>) -> Event {
+    match way {
+        Way::Direct { tier, job, shard, server, expected } => {
+            let outcome = attempt(&tier, &job, &server, expected).await;
+            Event::Direct(shard, server.record.id.clone(), outcome)
+        }
+        Way::Relay { group, mut call } => {
+            let parts = call.next().await;
+            Event::Relayed(group, call, parts)
+        }
+    }
+}
+
 impl<B: BackendProtocol> Scatter<'_, B> {
     /// Returns how many shards have a server that may get work.
     fn reachable(&self) -> usize {
@@ -156,33 +179,48 @@
         self.runs.iter().filter_map(ShardRun::act_at).min()
     }
 
-    fn due(&self) -> SmallVec<[usize; 8]> {
+    /// Returns further attempts at shards that wanted another look by now.
+    fn on_due(&mut self) -> Vec<Send> {
         let now = self.tier.now();
         let due = |n: &usize| self.runs[*n].act_at().is_some_and(|at| at <= now);
-        (0..self.runs.len()).filter(due).collect()
+        let due: SmallVec<[usize; 8]> = (0..self.runs.len()).filter(due).collect();
+        self.note_silent_relays(now);
+        let mut sends = Vec::new();
+        for shard in due {
+            let running = self.runs[shard].is_running();
+            if running {
+                self.note_overdue(now, shard);
+            }
+            let purpose = if running { Purpose::Hedge } else { Purpose::Needed };
+            sends.extend(self.start(shard, purpose));
+        }
+        sends
     }
 
     /// Notes that the server of a shard is late, so that other requests go elsewhere at once.
-    fn note_overdue(&self, shard: usize) {
+    fn note_overdue(&self, now: Monotonic, shard: usize) {
         if let Some(first) = &self.firsts[shard]
+            && !first.relayed
             && self.runs[shard].offers() == 1
-            && self.runs[shard].is_running()
         {
-            self.tier.beliefs().on_overdue(self.tier.now(), &first.server);
+            self.tier.beliefs().on_overdue(now, &first.server);
         }
     }
 
-    fn purpose(&self, shard: usize) -> Purpose {
-        if self.runs[shard].is_running() { Purpose::Hedge } else { Purpose::Needed }
+    fn note_silent_relays(&mut self, now: Monotonic) {
+        let pace = self.job.pace.get().unwrap_or(self.job.typical);
+        let silence = RELAY_SILENCE.max(pace * 3);
+        for group in &mut self.groups {
+            if !group.heard && !group.suspected && now >= group.sent_at + silence {
+                group.suspected = true;
+                self.tier.on_host_late(group.host, group.sent_at);
+            }
+        }
     }
 
     /// Notes the next attempt at a shard and returns where it goes, if there is a server for it
     /// and the budget allows it.
-    fn start(
-        &mut self,
-        shard: usize,
-        purpose: Purpose,
-    ) -> Option<(usize, Arc<LiveServer>, Duration)> {
+    fn start(&mut self, shard: usize, purpose: Purpose) -> Option<Send> {
         let now = self.tier.now();
         let service = &self.shards[shard];
         let run = &mut self.runs[shard];
@@ -208,39 +246,162 @@
             }
             self.extra += 1;
         }
+        Some(Send { shard, server, standing })
+    }
+
+    /// Notes attempts and starts them: directly to near servers, by one relay for each other
+    /// failure domain that has one.
+    fn send(&mut self, sends: Vec<Send>) -> Vec<Way<B>> {
+        let now = self.tier.now();
+        let mut ways = Vec::with_capacity(sends.len());
+        let (near, far): (Vec<Send>, Vec<Send>) = sends
+            .into_iter()
+            .partition(|send| send.server.record.domain == self.tier.settings.domain);
+        let pick_first = |shard: usize| self.runs[shard].offers() == 0;
+        let far = group_far(self.tier, self.job, self.shards, far, pick_first);
+        for (domain, sends) in far {
+            let relay = self.tier.relay_in(domain, self.version);
+            let call =
+                relay.and_then(|host| start_relay(self.tier, self.job, host, self.version, &sends));
+            let Some(call) = call else {
+                for send in sends {
+                    self.note_sent(now, &send, false);
+                    ways.push(self.direct(send));
+                }
+                continue;
+            };
+            for send in &sends {
+                self.note_sent(now, send, true);
+            }
+            let group = self.groups.len();
+            self.groups.push(Group::new(call.host, now, sends));
+            ways.push(Way::Relay { group, call });
+        }
+        for send in near {
+            self.note_sent(now, &send, false);
+            ways.push(self.direct(send));
+        }
+        ways
+    }
+
+    fn direct(&self, send: Send) -> Way<B> {
+        Way::Direct {
+            tier: self.tier.clone(),
+            job: self.job.clone(),
+            shard: send.shard,
+            server: send.server,
+            expected: send.standing.expected,
+        }
+    }
+
+    fn note_sent(&mut self, now: Monotonic, send: &Send, relayed: bool) {
+        let run = &mut self.runs[send.shard];
+        let server = send.server.record.id.clone();
+        let grace = if relayed { RELAY_GRACE } else { Duration::ZERO };
         if run.offers() == 0 {
-            let server = server.record.id.clone();
-            self.firsts[shard] = Some(First { server, sent_at: now, took: None });
+            let server = server.clone();
+            self.firsts[send.shard] = Some(First { server, sent_at: now, relayed, took: None });
         }
-        run.on_sent(&server.record.id, now + patience(&standing));
-        Some((shard, server, standing.expected))
+        run.on_sent(&server, now + patience(&send.standing) + grace);
     }
 
-    fn on_end(&mut self, shard: usize, server: &ServerId, outcome: Outcome<Reply>) -> Next {
-        let run = &mut self.runs[shard];
-        if run.is_answered() {
-            return Next::Wait;
+    /// Takes in an event; returns further attempts, and the relayed call if more may come of it.
+    fn on_event(&mut self, event: Event) -> (Vec<Send>, Option<Way<B>>) {
+        match event {
+            Event::Direct(shard, server, outcome) => {
+                (self.on_direct(shard, &server, outcome).into_iter().collect(), None)
+            }
+            Event::Relayed(group, mut call, Some(parts)) => {
+                self.tier.suspicion().on_heard(self.tier.now(), &call.host);
+                let sends = self.on_parts(group, parts);
+                if self.groups[group].open.is_empty() {
+                    call.done();
+                    return (sends, None);
+                }
+                (sends, Some(Way::Relay { group, call }))
+            }
+            Event::Relayed(group, call, None) => {
+                self.tier.on_host_late(call.host, self.groups[group].sent_at);
+                let open = std::mem::take(&mut self.groups[group].open);
+                let lost = Outcome::Unknown(UnknownReason::ConnectionLost);
+                let failed = |(shard, server)| self.on_failure(shard, &server, lost.clone());
+                (open.into_iter().filter_map(failed).collect(), None)
+            }
         }
+    }
+
+    fn on_direct(
+        &mut self,
+        shard: usize,
+        server: &ServerId,
+        outcome: Outcome<Reply>,
+    ) -> Option<Send> {
         if let Outcome::Answered(reply) = &outcome
             && reply.is_success()
             && let Some(signature) = &reply.signature
-            && !self.signatures.contains(signature)
         {
-            run.on_answer();
-            self.signatures.push(signature.clone());
-            self.records.add(&reply.body);
-            self.on_time(shard, server);
-            return Next::Wait;
+            if !self.runs[shard].is_answered() {
+                self.runs[shard].on_answer();
+                self.parts.add([(shard, signature.clone())], reply.body.clone());
+                self.on_time(shard, server, None);
+            }
+            return None;
         }
-        run.on_failure(self.tier.now(), server, failure_of(&outcome), self.job.route.attempts)
+        self.on_failure(shard, server, failure_of(&outcome))
+    }
+
+    fn on_failure(
+        &mut self,
+        shard: usize,
+        server: &ServerId,
+        failure: Outcome<()>,
+    ) -> Option<Send> {
+        let run = &mut self.runs[shard];
+        if run.is_answered() {
+            return None;
+        }
+        match run.on_failure(self.tier.now(), server, failure, self.job.route.attempts) {
+            Next::Again => self.start(shard, Purpose::Needed),
+            Next::Wait => None,
+        }
+    }
+
+    fn on_parts(&mut self, group: usize, frame: RelayParts) -> Vec<Send> {
+        let now = self.tier.now();
+        self.groups[group].heard = true;
+        let mut signed: SmallVec<[(usize, Signature); 16]> = SmallVec::new();
+        let elapsed = Duration::from_micros(u64::from(frame.elapsed_us));
+        let pace = Duration::from_micros(u64::from(frame.pace_us));
+        let way = now.saturating_sub(self.groups[group].sent_at).saturating_sub(elapsed);
+        for (shard, signature) in frame.parts {
+            let shard = usize::from(shard);
+            let Some(server) = self.groups[group].close(shard) else { continue };
+            signed.push((shard, signature));
+            if !self.runs[shard].is_answered() {
+                self.runs[shard].on_answer();
+                let usual = if pace.is_zero() { elapsed } else { pace };
+                self.on_time(shard, &server, Some(usual + way));
+            }
+        }
+        self.parts.add(signed, frame.records.into());
+        let mut sends = Vec::new();
+        for failure in frame.failed {
+            let shard = usize::from(failure.shard);
+            let Some(server) = self.groups[group].close(shard) else { continue };
+            if failure.server.is_none() {
+                self.tier.beliefs().on_declined(now, &server);
+            }
+            sends.extend(self.on_failure(shard, &server, failure.outcome));
+        }
+        sends
     }
 
     /// Takes in the time of an answer; when the pace of the request shows by it, the shards that
     /// are late by that pace are looked at early.
-    fn on_time(&mut self, shard: usize, server: &ServerId) {
+    fn on_time(&mut self, shard: usize, server: &ServerId, took: Option<Duration>) {
         let now = self.tier.now();
         if let Some(first) = self.firsts[shard].as_mut().filter(|first| first.server == *server) {
-            first.took = Some(now.saturating_sub(first.sent_at));
+            first.took = Some(took.unwrap_or_else(|| now.saturating_sub(first.sent_at)));
         }
         if self.job.pace.get().is_some() {
             return;
@@ -254,31 +415,33 @@
         // Of the half that is in, the slowest third is nearest to the median of all.
         let pace = times[times.len() * 5 / 6];
         self.job.pace.set(pace);
-        let target = self.job.route.latency_target;
         let mut beliefs = self.tier.beliefs();
-        beliefs.on_request(&self.job.route.id, pace, target);
-        let late_after = pace.mul_f64(LATE_FACTOR).max(pace + MIN_LATE);
+        beliefs.on_request(&self.job.route.id, pace, self.job.route.latency_target);
         for (run, first) in self.runs.iter_mut().zip(&self.firsts) {
             let Some(first) = first else { continue };
-            if let Some(took) = first.took {
-                beliefs.on_speed(now, &first.server, took, pace);
-            } else if run.offers() == 1 && run.is_running() {
-                run.look_again(first.sent_at + late_after);
+            let grace = if first.relayed { RELAY_GRACE } else { Duration::ZERO };
+            match first.took {
+                Some(took) if !first.relayed => beliefs.on_speed(now, &first.server, took, pace),
+                Some(_) => {}
+                None if run.offers() == 1 && run.is_running() => {
+                    run.look_again(first.sent_at + late_after(pace) + grace);
+                }
+                None => {}
             }
         }
     }
 
     fn finish(self, needed: usize) -> Outcome<Gathered> {
-        let parts = self.signatures.len();
-        let missing = self.shards.len() - parts;
+        let covered = self.parts.covered();
+        let missing = self.shards.len() - covered;
         self.log(missing);
         self.tier.metrics.missing(&self.job.route.id, missing as u64);
         self.tier.metrics.attempts("extra", u64::from(self.extra));
-        if parts >= needed {
-            let records = self.records.into_bytes();
-            return Outcome::Answered(Gathered { signatures: self.signatures, missing, records });
+        if covered >= needed {
+            let (signatures, records) = self.parts.finish(self.record_count);
+            return Outcome::Answered(Gathered { signatures, missing, records });
         }
-        let ran = parts > 0 || self.runs.iter().any(ShardRun::may_have_run);
+        let ran = covered > 0 || self.runs.iter().any(ShardRun::may_have_run);
         let reasons =
             || self.runs.iter().filter(|run| !run.is_answered()).map(ShardRun::unanswered);
         if ran {
@@ -304,27 +467,9 @@
             named.map(|n| (self.shards[n].clone(), self.runs[n].unanswered())).collect();
         tracing::info!(
             request = %self.job.call.request_id, route = %self.job.route.id,
-            shards = self.shards.len(), missing, extra = self.extra,
+            shards = self.shards.len(), missing, extra = self.extra, relays = self.groups.len(),
             servers_revision = self.tier.servers.load().revision,
             missing_shards = ?missing_shards, "gathered in part or with extra attempts"
         );
     }
 }
-
-async fn send<B: BackendProtocol>(
-    tier: Arc<Tier<B>>,
-    job: Arc<Job>,
-    shard: usize,
-    server: Arc<LiveServer>,
-    expected: Duration,
-) -> Ended {
-    let outcome = attempt(&tier, &job, &server, expected).await;
-    (shard, server.record.id.clone(), outcome)
-}
-
-async fn sleep_until(at: Option<tokio::time::Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -134,7 +134,9 @@
     ) -> Next {
         self.running = self.running.saturating_sub(1);
         match &failure {
-            Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::ServerLeaving) => {
+            Outcome::NotRun(
+                NotRunReason::Unreachable | NotRunReason::ServerLeaving | NotRunReason::NotOwner,
+            ) => {
                 // Nothing arrived there, so another server may take its place.
                 self.reached.retain(|reached| reached != server);
             }
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -8,6 +8,7 @@
 use super::attempt::{Job, attempt, choose, failure_of, patience};
 use super::pick::Purpose;
 use super::shard_run::{Next, ShardRun};
+use super::timer::sleep_until;
 use crate::connection::exchange::{BackendProtocol, Reply};
 use crate::ids::ServiceId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
@@ -122,10 +123,3 @@
     let outcome = attempt(&tier, &job, &server, expected).await;
     (server.record.id.clone(), outcome)
 }
-
-async fn sleep_until(at: Option<tokio::time::Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
--- /dev/null
+++ b/src/request/way.rs
@@ -0,0 +1,159 @@
+//! The ways by which attempts at shards go: directly, or by a relay in another failure domain.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::attempt::Job;
+use crate::clock::{Monotonic, millis};
+use crate::connection::exchange::BackendProtocol;
+use crate::connection::peer_frame::{PassedRequest, RelayCall, ShardIndex};
+use crate::connection::peer_links::PendingCall;
+use crate::ids::{DomainId, ServerId, ServiceId};
+use crate::process::fleet::members::DomainIndex;
+use crate::process::servers::belief::Standing;
+use crate::process::servers::registry::LiveServer;
+use crate::process::tier::Tier;
+
+/// An attempt that is to be made.
+#[derive(Debug)]
+pub(super) struct Send {
+    pub(super) shard: usize,
+    pub(super) server: Arc<LiveServer>,
+    pub(super) standing: Standing,
+}
+
+/// An attempt, or several by one relay, under way.
+pub(super) enum Way<B: BackendProtocol> {
+    Direct {
+        tier: Arc<Tier<B>>,
+        job: Arc<Job>,
+        shard: usize,
+        server: Arc<LiveServer>,
+        expected: Duration,
+    },
+    Relay {
+        group: usize,
+        call: PendingCall,
+    },
+}
+
+/// The shards that one relay was asked for.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) host: Ipv4Addr,
+    pub(super) sent_at: Monotonic,
+    pub(super) heard: bool,
+    pub(super) suspected: bool,
+    /// The shards that the relay has not reported, with the servers they were meant for.
+    pub(super) open: SmallVec<[(usize, ServerId); 16]>,
+}
+
+impl Group {
+    pub(super) fn new(host: Ipv4Addr, sent_at: Monotonic, sends: Vec<Send>) -> Self {
+        let open = sends.into_iter().map(|send| (send.shard, send.server.record.id.clone()));
+        Self { host, sent_at, heard: false, suspected: false, open: open.collect() }
+    }
+
+    /// Notes that the relay has reported a shard; returns the server it was meant for, or `None`
+    /// if the relay was not asked for it.
+    pub(super) fn close(&mut self, shard: usize) -> Option<ServerId> {
+        let at = self.open.iter().position(|(open, _)| *open == shard)?;
+        Some(self.open.swap_remove(at).1)
+    }
+}
+
+/// Groups attempts at far servers by failure domain, so that as few domains as possible are asked.
+///
+/// Attempts for which `may_move` holds go to any sound server of their shard; the others go where
+/// they were meant to.
+pub(super) fn group_far<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    shards: &[ServiceId],
+    sends: Vec<Send>,
+    may_move: impl Fn(usize) -> bool,
+) -> Vec<(DomainIndex, Vec<Send>)> {
+    let mut groups: BTreeMap<DomainIndex, Vec<Send>> = BTreeMap::new();
+    let (mut moving, fixed): (Vec<Send>, Vec<Send>) =
+        sends.into_iter().partition(|send| may_move(send.shard));
+    for send in fixed {
+        groups.entry(tier.domain_index(&send.server.record.domain)).or_default().push(send);
+    }
+    let now = tier.now();
+    let servers = tier.servers.load();
+    let beliefs = tier.beliefs();
+    let sound = |send: &Send| -> SmallVec<[(Arc<LiveServer>, Standing); 4]> {
+        let standing = |server: &Arc<LiveServer>| {
+            let record = &server.record;
+            let standing = beliefs.standing(now, &record.id, record.slots, job.typical);
+            (server.clone(), standing)
+        };
+        let far = servers.of(&shards[send.shard]).iter().map(standing);
+        far.filter(|(server, standing)| {
+            server.record.domain != tier.settings.domain && !standing.stalled && !standing.avoided
+        })
+        .collect()
+    };
+    let mut options: Vec<SmallVec<[(Arc<LiveServer>, Standing); 4]>> =
+        moving.iter().map(sound).collect();
+    drop(beliefs);
+    while !moving.is_empty() {
+        let Some(domain) = widest(&options) else { break };
+        let mut rest = Vec::new();
+        let mut rest_options = Vec::new();
+        for (mut send, choices) in moving.into_iter().zip(options) {
+            match choices.iter().find(|(server, _)| server.record.domain == domain) {
+                Some((server, standing)) => {
+                    send.server = server.clone();
+                    send.standing = *standing;
+                    groups.entry(tier.domain_index(&domain)).or_default().push(send);
+                }
+                None => {
+                    rest.push(send);
+                    rest_options.push(choices);
+                }
+            }
+        }
+        moving = rest;
+        options = rest_options;
+    }
+    for send in moving {
+        groups.entry(tier.domain_index(&send.server.record.domain)).or_default().push(send);
+    }
+    groups.into_iter().collect()
+}
+
+/// Returns the failure domain that has servers for the most attempts; equals in a random order, so
+/// that no domain gets all the work.
+fn widest(options: &[SmallVec<[(Arc<LiveServer>, Standing); 4]>]) -> Option<DomainId> {
+    let mut counts: BTreeMap<&DomainId, f64> = BTreeMap::new();
+    for (server, _) in options.iter().flatten() {
+        *counts.entry(&server.record.domain).or_insert_with(rand::random::<f64>) += 1.0;
+    }
+    let widest = counts.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
+    widest.map(|(domain, _)| domain.clone())
+}
+
+/// Asks a relay for shards, or returns `None` where it can't be asked.
+pub(super) fn start_relay<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    host: Ipv4Addr,
+    version: u64,
+    sends: &[Send],
+) -> Option<PendingCall> {
+    let shard = |send: &Send| ShardIndex::try_from(send.shard).ok();
+    let call = RelayCall {
+        id: 0,
+        version,
+        route: job.route.id.clone(),
+        shards: sends.iter().map(shard).collect::<Option<_>>()?,
+        left_ms: u32::try_from(millis(job.deadline.saturating_sub(tier.now()))).ok()?,
+        request: PassedRequest::from(&job.call),
+    };
+    tier.peers.call(host, tier.settings.peer_port, call)
+}
