Let relays say what is late, and decline servers that others may serve better

Cause: an early frame made the rest look late (a storm of hedges), a relay with one paused server looked silent, and a declined server got no hedge.

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -48,6 +48,8 @@
     pub route: RouteId,
     /// The shards asked for.
     pub shards: SmallVec<[ShardIndex; 16]>,
+    /// No better server is known to the sender, so that nothing is gained by declining.
+    pub insists: bool,
     /// How much time is left.
     pub left_ms: u32,
     /// The caller's request.
@@ -113,6 +115,8 @@
     pub parts: SmallVec<[(ShardIndex, Signature); 16]>,
     /// The greatest records of these parts.
     pub records: Vec<u8>,
+    /// The shards that are still out are late.
+    pub late: bool,
     /// The shards that failed here.
     pub failed: SmallVec<[RelayFailure; 4]>,
 }
--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -26,6 +26,7 @@
         version: 3,
         route: "r".into(),
         shards: smallvec![0, 19],
+        insists: false,
         left_ms: 250,
         request: PassedRequest::from(&call()),
     });
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -22,6 +22,10 @@
 pub const FAR_EVERY: Duration = Duration::from_millis(500);
 /// The hosts of the own domain that get each message.
 const NEAR_FANOUT: usize = 2;
+/// In a fleet of up to this many others, bytes are few, and hosts that stand alone in their domain
+/// are heard often enough only if each host tells more than one far host.
+const SMALL_FLEET: usize = 16;
+const SMALL_FAR_FANOUT: usize = 3;
 /// A host of the own domain is taken to be down after this silence: four rounds of gossip.
 const NEAR_SILENCE: Duration = Duration::from_millis(1_300);
 /// The same for hosts of other domains, whose heartbeats take one more hop.
@@ -146,7 +150,8 @@
         if now >= self.next_far {
             self.next_far = now + FAR_EVERY;
             let far: Vec<Ipv4Addr> = self.known(now, |member| member.domain != self.me.domain);
-            to.extend(far.choose(rng));
+            let fanout = if self.others.len() <= SMALL_FLEET { SMALL_FAR_FANOUT } else { 1 };
+            to.extend(far.sample(rng, fanout));
             // Hosts that have not heard of each other have a seed in common; asking one now and
             // then joins sides that a partition had parted for long.
             let alone = to.is_empty();
--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -32,9 +32,9 @@
 /// The pause after a failure to connect, and its upper bound when it is doubled.
 const FIRST_AVOID: Duration = Duration::from_millis(200);
 const MAX_AVOID: Duration = Duration::from_millis(1_600);
-/// The pause after another host declined to send to a server; pauses of servers are about twice
-/// as long, and the other host is asked again in between.
-const DECLINED_AVOID: Duration = Duration::from_millis(100);
+/// The pause after another host declined to send to a server: about a pause of a server, after
+/// which the other host is asked again.
+const DECLINED_FOR: Duration = Duration::from_millis(150);
 /// The share of the latency target that a request takes before any has been seen.
 const UNSEEN_SHARE_OF_TARGET: f64 = 0.2;
 /// The weight of one reply in a route's typical time.
@@ -71,6 +71,8 @@
     pub stalled: bool,
     /// It should get no work for now.
     pub avoided: bool,
+    /// A host that is nearer to it would not send to it a moment ago.
+    pub declined: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,6 +91,7 @@
     as_of: Monotonic,
     avoid_until: Monotonic,
     avoid_step: Duration,
+    declined_until: Monotonic,
     used_at: Monotonic,
 }
 
@@ -102,6 +105,7 @@
             as_of: now,
             avoid_until: Monotonic::ZERO,
             avoid_step: FIRST_AVOID,
+            declined_until: Monotonic::ZERO,
             used_at: now,
         }
     }
@@ -161,7 +165,7 @@
         typical: Duration,
     ) -> Standing {
         let Some(belief) = self.servers.get(server) else {
-            return Standing { expected: typical, in_flight: 0, stalled: false, avoided: false };
+            return Standing { expected: typical, in_flight: 0, stalled: false, avoided: false, declined: false };
         };
         let (slowness, failing) = belief.faded(now);
         let in_flight = belief.waiting.len();
@@ -173,6 +177,7 @@
             in_flight,
             stalled,
             avoided: now < belief.avoid_until || trial_only,
+            declined: now < belief.declined_until,
         }
     }
 
@@ -202,7 +207,7 @@
     /// Takes in that another host, which knows the server better, would not send to it now.
     pub fn on_declined(&mut self, now: Monotonic, server: &ServerId) {
         let belief = self.servers.entry(server.clone()).or_insert_with(|| Belief::new(now));
-        belief.avoid_until = belief.avoid_until.max(now + DECLINED_AVOID);
+        belief.declined_until = now + DECLINED_FOR;
     }
 
     /// Takes in how long a reply took and how long the same request takes usually.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -21,6 +21,8 @@
 /// A connection that is not open after this is given up: it takes servers some milliseconds, and
 /// hosts that are gone never answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A server that takes this many times the usual time is better left to hosts that know no other.
+const DECLINE_FACTOR: f64 = 2.5;
 /// How much the choice between equal servers varies.
 const JITTER: f64 = 0.1;
 
@@ -79,13 +81,16 @@
     tier: &Tier<B>,
     job: &Job,
     service: &ServiceId,
+    purpose: Purpose,
 ) -> Option<(Arc<LiveServer>, Standing)> {
     let servers = tier.servers.load();
     let near = |server: &&Arc<LiveServer>| server.record.domain == tier.settings.domain;
     let all: SmallVec<[Arc<LiveServer>; 4]> =
         servers.of(service).iter().filter(near).cloned().collect();
     let candidates = candidates(tier, job, &all, |_| false);
-    pick_among(job, &all, &candidates, Purpose::Hedge)
+    let (server, standing) = pick_among(job, &all, &candidates, purpose)?;
+    let slow = standing.expected > job.typical.mul_f64(DECLINE_FACTOR);
+    (purpose == Purpose::Needed || !slow).then_some((server, standing))
 }
 
 fn candidates<B: BackendProtocol>(
--- a/src/request/pick/tests.rs
+++ b/src/request/pick/tests.rs
@@ -12,6 +12,7 @@
             in_flight: 0,
             stalled: false,
             avoided: false,
+            declined: false,
         },
         near: true,
         tried: false,
@@ -29,6 +30,11 @@
     candidate
 }
 
+fn declined(mut candidate: Candidate) -> Candidate {
+    candidate.standing.declined = true;
+    candidate
+}
+
 #[test]
 fn the_soundest_server_is_picked() {
     struct Case {
@@ -71,6 +77,18 @@
             needed: Some(0),
             hedge: None,
         },
+        Case {
+            name: "a declined one only if there is no better",
+            candidates: vec![declined(candidate(10)), candidate(40)],
+            needed: Some(1),
+            hedge: Some(1),
+        },
+        Case {
+            name: "a declined one is better than a stalled one",
+            candidates: vec![declined(candidate(10)), stalled(candidate(5))],
+            needed: Some(0),
+            hedge: Some(0),
+        },
         Case {
             name: "stalled before avoided",
             candidates: vec![avoided(candidate(10)), stalled(candidate(10))],
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::{Job, Pace, attempt, choose_near, failure_of};
+use super::pick::Purpose;
 use super::records::TopRecords;
 use super::scatter::{LATE_FACTOR, LINGER, MIN_LATE, PACE_SHARE};
 use super::timer::sleep_until;
@@ -27,6 +28,7 @@
 };
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome};
+use crate::process::servers::belief::Beliefs;
 use crate::process::tier::Tier;
 use crate::version::plan::{GatherRule, Target};
 
@@ -169,7 +171,8 @@
             pace: Pace::default(),
             route: route.clone(),
         });
-        relayed.gather(&tier, &job, rule, &call.shards, &cancelled).await;
+        let purpose = if call.insists { Purpose::Needed } else { Purpose::Hedge };
+        relayed.gather(&tier, &job, rule, &call.shards, purpose, &cancelled).await;
     }
 
     async fn gather<B: BackendProtocol>(
@@ -178,13 +181,14 @@
         job: &Arc<Job>,
         rule: &GatherRule,
         shards: &[ShardIndex],
+        purpose: Purpose,
         cancelled: &CancellationToken,
     ) {
         let mut running = FuturesUnordered::new();
         let mut open: SmallVec<[(ShardIndex, ServerId); 16]> = SmallVec::new();
         for shard in shards {
             let service = rule.shards.get(usize::from(*shard));
-            let chosen = service.and_then(|service| choose_near(tier, job, service));
+            let chosen = service.and_then(|service| choose_near(tier, job, service, purpose));
             match chosen {
                 Some((server, standing)) => {
                     open.push((*shard, server.record.id.clone()));
@@ -199,30 +203,37 @@
         }
         let sent = running.len();
         let mut times: Vec<(ServerId, Duration)> = Vec::with_capacity(sent);
+        // What was declined goes back at once; the rest when it is in, or late.
         let mut flush_at = (!self.next.failed.is_empty()).then_some(self.began_at);
+        let mut late_at = Some(self.began_at + Beliefs::patience(job.typical));
         loop {
             if running.is_empty() {
                 self.flush(tier, job.pace.get()).await;
                 return;
             }
-            let flush = flush_at.map(|at| tier.clock.instant(at));
+            let flush = [flush_at, late_at].into_iter().flatten().min();
             tokio::select! {
                 biased;
                 Some((shard, server, outcome)) = running.next() => {
-                    let took = tier.now().saturating_sub(self.began_at);
+                    let now = tier.now();
                     open.retain(|(waiting, _)| *waiting != shard);
                     if self.on_end(shard, &server, &outcome) {
-                        times.push((server, took));
+                        times.push((server, now.saturating_sub(self.began_at)));
                         note_pace(tier, job, &times, sent);
                     } else {
-                        flush_at = Some(tier.now());
+                        flush_at = Some(now);
+                    }
+                    if late_at.is_none() {
+                        flush_at = flush_at.or(Some(now + COALESCE));
+                    } else if let Some(pace) = job.pace.get() {
+                        late_at = Some(self.began_at + late_after(pace));
                     }
-                    let late = job.pace.get().map(|pace| late_after(pace) + self.began_at);
-                    flush_at = flush_at.or_else(|| late.map(|at| at.max(tier.now() + COALESCE)));
                 }
-                () = sleep_until(flush) => {
+                () = sleep_until(flush.map(|at| tier.clock.instant(at))) => {
                     let now = tier.now();
-                    if job.pace.get().is_some_and(|pace| now >= self.began_at + late_after(pace)) {
+                    if late_at.is_some_and(|at| at <= now) {
+                        late_at = None;
+                        self.next.late = true;
                         let mut beliefs = tier.beliefs();
                         open.iter().for_each(|(_, server)| beliefs.on_overdue(now, server));
                     }
@@ -258,7 +269,7 @@
     }
 
     async fn flush<B: BackendProtocol>(&mut self, tier: &Tier<B>, pace: Option<Duration>) {
-        if self.next.parts.is_empty() && self.next.failed.is_empty() {
+        if self.next.parts.is_empty() && self.next.failed.is_empty() && !self.next.late {
             return;
         }
         let micros = |time| u32::try_from(micros(time)).unwrap_or(u32::MAX);
@@ -279,6 +290,7 @@
         elapsed_us: 0,
         parts: SmallVec::new(),
         records: Vec::new(),
+        late: false,
         failed: SmallVec::new(),
     }
 }
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -238,7 +238,7 @@
         };
         if run.offers() == 0 {
             self.tier.extra().on_first(now, service);
-        } else {
+        } else if run.is_extra() {
             let sharing = self.tier.fleet.load().sharing;
             if !self.tier.extra().try_spend(now, service, sharing) {
                 run.on_no_more();
@@ -259,10 +259,11 @@
             .partition(|send| send.server.record.domain == self.tier.settings.domain);
         let pick_first = |shard: usize| self.runs[shard].offers() == 0;
         let far = group_far(self.tier, self.job, self.shards, far, pick_first);
-        for (domain, sends) in far {
+        for ((domain, insists), sends) in far {
             let relay = self.tier.relay_in(domain, self.version);
-            let call =
-                relay.and_then(|host| start_relay(self.tier, self.job, host, self.version, &sends));
+            let call = relay.and_then(|host| {
+                start_relay(self.tier, self.job, host, self.version, &sends, insists)
+            });
             let Some(call) = call else {
                 for send in sends {
                     self.note_sent(now, &send, false);
@@ -384,6 +385,11 @@
             }
         }
         self.parts.add(signed, frame.records.into());
+        for (shard, _) in self.groups[group].open.iter().filter(|_| frame.late) {
+            if self.runs[*shard].offers() == 1 {
+                self.runs[*shard].look_again(now);
+            }
+        }
         let mut sends = Vec::new();
         for failure in frame.failed {
             let shard = usize::from(failure.shard);
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -12,8 +12,8 @@
 const SHED_BACKOFF: Duration = Duration::from_millis(40);
 /// How often a shard without a usable server is looked at again.
 const RECHECK: Duration = Duration::from_millis(60);
-/// The most times that one request is offered to servers that shed it.
-const MAX_OFFERS: u32 = 4;
+/// The most times that one request is offered to servers and relays that do not run it.
+const MAX_OFFERS: u32 = 6;
 
 /// What to do about a shard next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +34,7 @@
     running: u32,
     ran: u32,
     offers: u32,
+    arrived: u32,
     answered: bool,
     act_at: Option<Monotonic>,
     failure: Option<Outcome<()>>,
@@ -70,6 +71,11 @@
         self.offers
     }
 
+    /// Tells whether the next attempt is beyond the first that arrives at a server.
+    pub const fn is_extra(&self) -> bool {
+        self.arrived > 0
+    }
+
     /// Tells whether no attempt at it may succeed any more.
     pub const fn is_over(&self) -> bool {
         !self.answered && self.running == 0 && self.act_at.is_none()
@@ -95,11 +101,13 @@
         self.shunned.push(server.clone());
         self.running += 1;
         self.offers += 1;
+        self.arrived += 1;
         self.act_at = Some(overdue_at);
     }
 
-    /// Takes in that there is no server to send to for now.
+    /// Takes in that there is no server to send to for now; later all are tried again.
     pub fn on_no_server(&mut self, now: Monotonic) {
+        self.shunned.clear();
         if self.failure.is_none() {
             self.failure = Some(Outcome::NotRun(NotRunReason::Unreachable));
         }
@@ -139,6 +147,7 @@
             ) => {
                 // Nothing arrived there, so another server may take its place.
                 self.reached.retain(|reached| reached != server);
+                self.arrived = self.arrived.saturating_sub(1);
             }
             Outcome::NotRun(_) => {}
             Outcome::Unknown(_) | Outcome::Answered(()) => self.ran += 1,
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -66,6 +66,9 @@
     }
 }
 
+/// Whether a relay must send even to a server that it would rather not, since no other is known.
+pub(super) type Insists = bool;
+
 /// Groups attempts at far servers by failure domain, so that as few domains as possible are asked.
 ///
 /// Attempts for which `may_move` holds go to any sound server of their shard; the others go where
@@ -76,12 +79,17 @@
     shards: &[ServiceId],
     sends: Vec<Send>,
     may_move: impl Fn(usize) -> bool,
-) -> Vec<(DomainIndex, Vec<Send>)> {
-    let mut groups: BTreeMap<DomainIndex, Vec<Send>> = BTreeMap::new();
+) -> Vec<((DomainIndex, Insists), Vec<Send>)> {
+    let mut groups: BTreeMap<(DomainIndex, Insists), Vec<Send>> = BTreeMap::new();
+    let key = |send: &Send| {
+        let standing = &send.standing;
+        let insists = standing.stalled || standing.avoided || standing.declined;
+        (tier.domain_index(&send.server.record.domain), insists)
+    };
     let (mut moving, fixed): (Vec<Send>, Vec<Send>) =
         sends.into_iter().partition(|send| may_move(send.shard));
     for send in fixed {
-        groups.entry(tier.domain_index(&send.server.record.domain)).or_default().push(send);
+        groups.entry(key(&send)).or_default().push(send);
     }
     let now = tier.now();
     let servers = tier.servers.load();
@@ -94,7 +102,8 @@
         };
         let far = servers.of(&shards[send.shard]).iter().map(standing);
         far.filter(|(server, standing)| {
-            server.record.domain != tier.settings.domain && !standing.stalled && !standing.avoided
+            let sound = !standing.stalled && !standing.avoided && !standing.declined;
+            sound && server.record.domain != tier.settings.domain
         })
         .collect()
     };
@@ -110,7 +119,7 @@
                 Some((server, standing)) => {
                     send.server = server.clone();
                     send.standing = *standing;
-                    groups.entry(tier.domain_index(&domain)).or_default().push(send);
+                    groups.entry(key(&send)).or_default().push(send);
                 }
                 None => {
                     rest.push(send);
@@ -122,7 +131,7 @@
         options = rest_options;
     }
     for send in moving {
-        groups.entry(tier.domain_index(&send.server.record.domain)).or_default().push(send);
+        groups.entry(key(&send)).or_default().push(send);
     }
     groups.into_iter().collect()
 }
@@ -145,6 +154,7 @@
     host: Ipv4Addr,
     version: u64,
     sends: &[Send],
+    insists: Insists,
 ) -> Option<PendingCall> {
     let shard = |send: &Send| ShardIndex::try_from(send.shard).ok();
     let call = RelayCall {
@@ -152,6 +162,7 @@
         version,
         route: job.route.id.clone(),
         shards: sends.iter().map(shard).collect::<Option<_>>()?,
+        insists,
         left_ms: u32::try_from(millis(job.deadline.saturating_sub(tier.now()))).ok()?,
         request: PassedRequest::from(&job.call),
     };
