--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -14,9 +14,10 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::exchange::{Call, Signature};
-use crate::ids::{ConfigVersion, RequestId, ServerId};
+use crate::ids::{ConfigVersion, RequestId, Revision, ServerId};
 use crate::outcome::Outcome;
-use crate::version::plan::RouteId;
+use crate::process::servers::registry::Change;
+use crate::version::plan::{PlanDocument, RouteId};
 
 /// The longest frame, in bytes: the greatest records of a relay's parts, or a caller's body.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -27,7 +28,7 @@
 pub type ShardIndex = u16;
 
 /// One message between hosts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// Asks a host to send a request to servers of its failure domain.
     Call(RelayCall),
@@ -35,6 +36,34 @@
     Parts(RelayParts),
     /// The answer is not wanted any more.
     Cancel(CallId),
+    /// Asks for what the sender lacks of the platform's facts.
+    Pull(Known),
+    /// What the platform said.
+    Facts(Facts),
+}
+
+/// How much of the platform's facts a host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Everything up to this revision, as far as servers and failure domains go.
+    pub revision: Revision,
+    /// The plan of this version.
+    pub version: ConfigVersion,
+}
+
+/// Facts of the platform, as hosts pass them on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Facts {
+    /// What the changes complete; a receiver that knows less asks for more.
+    pub after: Revision,
+    /// Changes of servers and failure domains after that.
+    pub changes: Vec<Change>,
+    /// Everything up to this revision is in.
+    pub up_to: Revision,
+    /// The plan, if the receiver may lack it.
+    pub plan: Option<PlanDocument>,
+    /// How long ago the platform came back, if entries may still be on hold for it.
+    pub returned_ms_ago: Option<u32>,
 }
 
 /// Asks a host to send a request to its near servers of some shards.
--- a/src/connection/peer_links.rs
+++ b/src/connection/peer_links.rs
@@ -12,7 +12,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use super::peer_frame::{CallId, Frame, RelayCall, RelayParts, codec, decode, encode};
+use super::peer_frame::{CallId, Facts, Frame, RelayCall, RelayParts, codec, decode, encode};
 
 /// A host that accepts no connection within this is not waited for.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -32,13 +32,26 @@
 }
 
 /// All connections of a host to others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerLinks {
     links: Mutex<HashMap<Ipv4Addr, Arc<Link>>>,
     next_id: AtomicU32,
+    facts: mpsc::UnboundedSender<Facts>,
 }
 
 impl PeerLinks {
+    /// Starts without connections; facts that other hosts answer with go to `facts`.
+    pub fn new(facts: mpsc::UnboundedSender<Facts>) -> Self {
+        Self { links: Mutex::default(), next_id: AtomicU32::new(0), facts }
+    }
+
+    /// Sends a frame that has no parts, unless the host reads too slowly.
+    pub fn send(&self, host: Ipv4Addr, port: u16, frame: Frame) {
+        if self.link(host, port).frames.try_send(frame).is_err() {
+            tracing::debug!(%host, "frame dropped: the host reads too slowly");
+        }
+    }
+
     /// Returns how many calls wait for a host.
     pub fn waiting(&self, host: Ipv4Addr) -> usize {
         let links = self.links.lock().expect("no holder of the lock panics");
@@ -79,17 +92,23 @@
             closed: CancellationToken::new(),
         });
         links.insert(host, link.clone());
-        tokio::spawn(drive(link.clone(), SocketAddrV4::new(host, port), outgoing));
+        let addr = SocketAddrV4::new(host, port);
+        tokio::spawn(drive(link.clone(), addr, outgoing, self.facts.clone()));
         link
     }
 }
 
 /// Carries frames over one connection until it ends.
-async fn drive(link: Arc<Link>, addr: SocketAddrV4, outgoing: mpsc::Receiver<Frame>) {
+async fn drive(
+    link: Arc<Link>,
+    addr: SocketAddrV4,
+    outgoing: mpsc::Receiver<Frame>,
+    facts: mpsc::UnboundedSender<Facts>,
+) {
     let closed = link.closed.clone();
     tokio::select! {
         () = closed.cancelled() => {}
-        result = carry(&link, addr, outgoing) => {
+        result = carry(&link, addr, outgoing, &facts) => {
             if let Err(error) = result {
                 tracing::info!(host = %addr.ip(), %error, "connection to a host lost");
             }
@@ -104,6 +123,7 @@
     link: &Link,
     addr: SocketAddrV4,
     mut outgoing: mpsc::Receiver<Frame>,
+    facts: &mpsc::UnboundedSender<Facts>,
 ) -> std::io::Result<()> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
@@ -118,7 +138,11 @@
         while let Some(bytes) = stream.next().await {
             match decode(&bytes?) {
                 Some(Frame::Parts(parts)) => deliver(link, parts),
-                Some(Frame::Call(_) | Frame::Cancel(_)) | None => {
+                Some(Frame::Facts(told)) => {
+                    // The receiver lives as long as the host.
+                    let _ = facts.send(told);
+                }
+                Some(Frame::Call(_) | Frame::Cancel(_) | Frame::Pull(_)) | None => {
                     return Err(std::io::Error::other("the frame makes no sense here"));
                 }
             }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -24,6 +24,7 @@
 pub mod record;
 pub mod server_queue;
 pub mod servers;
+pub mod sharing;
 pub mod suspicion;
 pub mod temperature;
 pub mod tier;
--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -165,7 +165,13 @@
         typical: Duration,
     ) -> Standing {
         let Some(belief) = self.servers.get(server) else {
-            return Standing { expected: typical, in_flight: 0, stalled: false, avoided: false, declined: false };
+            return Standing {
+                expected: typical,
+                in_flight: 0,
+                stalled: false,
+                avoided: false,
+                declined: false,
+            };
         };
         let (slowness, failing) = belief.faded(now);
         let in_flight = belief.waiting.len();
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::fleet::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
@@ -18,6 +19,7 @@
 use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::BackendProtocol;
+use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
 use crate::ids::{ConfigVersion, DomainId, Revision};
@@ -81,6 +83,7 @@
     /// Set once the host stops.
     pub stopped: CancellationToken,
     pub(crate) metrics: Metrics,
+    told: Mutex<Option<mpsc::UnboundedReceiver<Facts>>>,
     domains: HashMap<DomainId, DomainIndex>,
     registry: Mutex<Registry>,
     members: Mutex<Members>,
@@ -95,6 +98,7 @@
     /// Starts without a plan, servers or other hosts.
     pub fn new(settings: TierSettings, backend: B) -> Self {
         let clock = Clock::start();
+        let (facts, told) = mpsc::unbounded_channel();
         let index = |domain: &DomainId| (domain.clone(), settings.domain_index(domain));
         let domains: HashMap<_, _> = settings.domains.iter().map(index).collect();
         let me = Heartbeat {
@@ -115,7 +119,8 @@
             backend,
             settings,
             pool: Arc::default(),
-            peers: PeerLinks::default(),
+            peers: PeerLinks::new(facts),
+            told: Mutex::new(Some(told)),
             plan: ArcSwap::default(),
             servers: ArcSwap::default(),
             fleet: ArcSwap::from_pointee(FleetView { up: Vec::new(), sharing: 1 }),
@@ -183,6 +188,11 @@
         }
     }
 
+    /// Returns the channel of facts that other hosts answer with; only its first caller gets it.
+    pub(crate) fn told(&self) -> Option<mpsc::UnboundedReceiver<Facts>> {
+        self.told.lock().expect("no holder of the lock panics").take()
+    }
+
     /// Returns which hosts have not answered lately.
     pub fn suspicion(&self) -> MutexGuard<'_, Suspicion<Ipv4Addr>> {
         self.suspicion.lock().expect("no holder of the lock panics")
@@ -215,7 +225,8 @@
     pub fn apply_changes(&self, changes: Vec<Change>, up_to: Revision) {
         let now = self.now();
         let mut registry = self.registry.lock().expect("no holder of the lock panics");
-        if registry.apply(now, changes, up_to) {
+        let before = registry.revision();
+        if registry.apply(now, changes, up_to) || registry.revision() > before {
             self.servers.store(Arc::new(registry.view()));
         }
     }
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -29,6 +29,7 @@
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome};
 use crate::process::servers::belief::Beliefs;
+use crate::process::sharing;
 use crate::process::tier::Tier;
 use crate::version::plan::{GatherRule, Target};
 
@@ -89,6 +90,12 @@
                         call.cancel();
                     }
                 }
+                Some(Frame::Pull(known)) => {
+                    let facts = sharing::facts_after(&tier, known);
+                    // A host that does not read its answer asks again.
+                    let _ = frames.try_send(Frame::Facts(facts));
+                }
+                Some(Frame::Facts(facts)) => sharing::on_facts(&tier, facts),
                 Some(Frame::Parts(_)) | None => {
                     tracing::warn!("a host sent a frame that makes no sense");
                     return;
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -16,7 +16,7 @@
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
 use super::way::{Group, Send, Way, group_far, start_relay};
-use crate::clock::Monotonic;
+use crate::clock::{Monotonic, micros};
 use crate::connection::exchange::{BackendProtocol, Reply, Signature};
 use crate::connection::peer_frame::RelayParts;
 use crate::connection::peer_links::PendingCall;
@@ -303,6 +303,10 @@
             let server = server.clone();
             self.firsts[send.shard] = Some(First { server, sent_at: now, relayed, took: None });
         }
+        tracing::debug!(
+            request = %self.job.call.request_id, shard = send.shard, server = %server, relayed,
+            offer = run.offers(), expected_us = micros(send.standing.expected), "sent"
+        );
         run.on_sent(&server, now + patience(&send.standing) + grace);
     }
 
@@ -344,6 +348,7 @@
             if !self.runs[shard].is_answered() {
                 self.runs[shard].on_answer();
                 self.parts.add([(shard, signature.clone())], reply.body.clone());
+                tracing::debug!(request = %self.job.call.request_id, shard, %server, "part is in");
                 self.on_time(shard, server, None);
             }
             return None;
@@ -370,6 +375,11 @@
     fn on_parts(&mut self, group: usize, frame: RelayParts) -> Vec<Send> {
         let now = self.tier.now();
         self.groups[group].heard = true;
+        tracing::debug!(
+            request = %self.job.call.request_id, relay = %self.groups[group].host,
+            parts = frame.parts.len(), failed = frame.failed.len(), late = frame.late,
+            pace_us = frame.pace_us, elapsed_us = frame.elapsed_us, "relay returned"
+        );
         let mut signed: SmallVec<[(usize, Signature); 16]> = SmallVec::new();
         let elapsed = Duration::from_micros(u64::from(frame.elapsed_us));
         let pace = Duration::from_micros(u64::from(frame.pace_us));
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -108,10 +108,12 @@
     /// Takes in that there is no server to send to for now; later all are tried again.
     pub fn on_no_server(&mut self, now: Monotonic) {
         self.shunned.clear();
+        // A relay that declined the only server is asked again at once, and then insisted upon.
+        let declined = matches!(self.failure, Some(Outcome::NotRun(NotRunReason::NotOwner)));
         if self.failure.is_none() {
             self.failure = Some(Outcome::NotRun(NotRunReason::Unreachable));
         }
-        self.act_at = Some(now + RECHECK);
+        self.act_at = Some(if declined { now } else { now + RECHECK });
     }
 
     /// Asks for another look at a time, if no reply comes before.
--- a/src/version/plan.rs
+++ b/src/version/plan.rs
@@ -147,6 +147,7 @@
     pub services: HashMap<ServiceId, ServiceTerms>,
     /// What callers may send.
     pub limits: CallerLimits,
+    document: Arc<PlanDocument>,
     by_id: HashMap<RouteId, Arc<Route>>,
     by_host: HashMap<SmolStr, Vec<Arc<Route>>>,
 }
@@ -160,8 +161,9 @@
     /// positive, a coverage floor outside of 0 to 1, a route without services or attempts, and a
     /// second route of the same name.
     pub fn new(document: PlanDocument) -> Result<Self> {
-        let PlanDocument { version, routes, services, limits } = document;
-        let mut plan = Self { version, services, limits, ..Self::default() };
+        let document = Arc::new(document);
+        let PlanDocument { version, routes, services, limits } = (*document).clone();
+        let mut plan = Self { version, services, limits, document, ..Self::default() };
         for route in routes {
             check(&route)?;
             let route = Arc::new(route);
@@ -176,6 +178,11 @@
         Ok(plan)
     }
 
+    /// Returns the content from which the plan was built.
+    pub const fn document(&self) -> &Arc<PlanDocument> {
+        &self.document
+    }
+
     /// Returns the route with the longest prefix that begins a path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.by_host.get(host)?.iter().find(|route| path.starts_with(route.prefix.as_str()))
