--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -79,6 +79,8 @@
     pub shards: SmallVec<[ShardIndex; 16]>,
     /// No better server is known to the sender, so that nothing is gained by declining.
     pub insists: bool,
+    /// How long the request takes at a usual server, or 0 where that does not show yet.
+    pub pace_us: u32,
     /// How much time is left.
     pub left_ms: u32,
     /// The caller's request.
@@ -92,7 +94,7 @@
     path: SmolStr,
     host: SmolStr,
     request_id: RequestId,
-    headers: SmallVec<[(SmolStr, Vec<u8>); 2]>,
+    headers: Vec<(SmolStr, Vec<u8>)>,
     body: Vec<u8>,
 }
 
@@ -141,13 +143,13 @@
     /// How long the relay has had the call.
     pub elapsed_us: u32,
     /// The shards that are in, with their servers' signatures.
-    pub parts: SmallVec<[(ShardIndex, Signature); 16]>,
+    pub parts: Vec<(ShardIndex, Signature)>,
     /// The greatest records of these parts.
     pub records: Vec<u8>,
     /// The shards that are still out are late.
     pub late: bool,
     /// The shards that failed here.
-    pub failed: SmallVec<[RelayFailure; 4]>,
+    pub failed: Vec<RelayFailure>,
 }
 
 /// A shard that a relay has no part of.
--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -27,6 +27,7 @@
         route: "r".into(),
         shards: smallvec![0, 19],
         insists: false,
+        pace_us: 0,
         left_ms: 250,
         request: PassedRequest::from(&call()),
     });
--- a/src/process/fleet/directory.rs
+++ b/src/process/fleet/directory.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use super::members::{DomainIndex, FleetView, Phase};
+use super::members::{DomainIndex, FleetView, Heartbeat, Phase};
 use crate::connection::exchange::BackendProtocol;
 use crate::process::tier::Tier;
 
@@ -13,31 +13,52 @@
 /// The least hosts that an answer names, if there are as many: a caller that knows one only has
 /// nowhere to go when it fails.
 const MIN_HOSTS: usize = 2;
+/// A host that can bear less than this share of the strongest is weak: a request over many shards
+/// takes it as many times longer.
+const WEAK_SHARE: f64 = 0.7;
 /// The most hosts that an answer names.
 const MAX_HOSTS: usize = 64;
 
+/// A host that callers may be sent to.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    ip: Ipv4Addr,
+    domain: DomainIndex,
+    weight: u16,
+}
+
 /// Returns the hosts for callers that stand in a failure domain, or in none that is known.
 pub fn hosts_for<B: BackendProtocol>(tier: &Tier<B>, domain: &str) -> Vec<Ipv4Addr> {
-    let me =
-        tier.is_ready().then_some((tier.settings.ip, tier.domain_index(&tier.settings.domain)));
-    choose(&tier.fleet.load(), me, tier.domain_index(domain), rand::random::<u16>().into())
+    let me = tier.is_ready().then(|| Choice {
+        ip: tier.settings.ip,
+        domain: tier.domain_index(&tier.settings.domain),
+        weight: tier.settings.weight,
+    });
+    let turn = rand::random::<u16>().into();
+    choose(&tier.fleet.load(), me, tier.domain_index(domain), turn)
 }
 
-/// Chooses hosts of the domain first, and others only where it has too few.
+/// Chooses strong hosts of the domain first, and others only where it has too few.
 fn choose(
     fleet: &FleetView,
-    me: Option<(Ipv4Addr, DomainIndex)>,
+    me: Option<Choice>,
     domain: DomainIndex,
     turn: usize,
 ) -> Vec<Ipv4Addr> {
-    let others = fleet.up.iter().filter(|h| h.phase == Phase::Ready).map(|h| (h.ip, h.domain));
-    let ready: Vec<(Ipv4Addr, DomainIndex)> = me.into_iter().chain(others).collect();
-    let ips =
-        |near: bool| ready.iter().filter(move |(_, at)| (*at == domain) == near).map(|(ip, _)| *ip);
-    let mut hosts: Vec<Ipv4Addr> = ips(true).collect();
-    let far: Vec<Ipv4Addr> = ips(false).collect();
+    let choice = |h: &Heartbeat| Choice { ip: h.ip, domain: h.domain, weight: h.weight };
+    let others = fleet.up.iter().filter(|h| h.phase == Phase::Ready).map(choice);
+    let ready = me.into_iter().chain(others);
+    let (mut near, mut far): (Vec<Choice>, Vec<Choice>) = ready.partition(|c| c.domain == domain);
+    near.sort_by_key(|choice| (std::cmp::Reverse(choice.weight), choice.ip));
+    let strongest = near.first().map_or(0.0, |choice| f64::from(choice.weight));
+    let strong = |choice: &&Choice| f64::from(choice.weight) >= strongest * WEAK_SHARE;
+    let count = near.iter().filter(strong).count().max(MIN_HOSTS);
+    let mut hosts: Vec<Ipv4Addr> = near.iter().take(count).map(|choice| choice.ip).collect();
     let lacking = MIN_HOSTS.saturating_sub(hosts.len()).min(far.len());
-    hosts.extend((0..lacking).map(|n| far[(turn % far.len() + n) % far.len()]));
+    if lacking > 0 {
+        far.sort_by_key(|choice| choice.ip);
+        hosts.extend((0..lacking).map(|n| far[(turn + n) % far.len()].ip));
+    }
     hosts.truncate(MAX_HOSTS);
     hosts
 }
--- a/src/process/fleet/directory/tests.rs
+++ b/src/process/fleet/directory/tests.rs
@@ -27,6 +27,7 @@
         near: usize,
     }
     let ready = |n, domain| host(n, domain, Phase::Ready);
+    let weak = |n, domain| Heartbeat { weight: 6, ..host(n, domain, Phase::Ready) };
     let cases = [
         Case {
             name: "enough near ones",
@@ -49,10 +50,24 @@
             hosts: 1,
             near: 0,
         },
+        Case {
+            name: "no weak ones beside two strong ones",
+            up: vec![ready(1, 0), ready(2, 0), weak(3, 0), weak(4, 0), ready(5, 1)],
+            domain: 0,
+            hosts: 2,
+            near: 2,
+        },
+        Case {
+            name: "a weak one rather than a single host",
+            up: vec![ready(1, 0), weak(3, 0), weak(4, 0), ready(5, 1)],
+            domain: 0,
+            hosts: 2,
+            near: 2,
+        },
         Case { name: "nobody", up: vec![], domain: 0, hosts: 0, near: 0 },
     ];
     for case in cases {
-        let fleet = FleetView { up: case.up, sharing: 4 };
+        let fleet = FleetView { up: case.up, ..FleetView::default() };
         for turn in 0..3 {
             let hosts = choose(&fleet, None, case.domain, turn);
             let near = hosts.iter().filter(|ip| ip.octets()[1] == case.domain).count();
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -96,9 +96,16 @@
     pub up: Vec<Heartbeat>,
     /// All hosts that shared limits must be divided by, this one among them.
     pub sharing: usize,
+    /// The same for each failure domain that has any.
+    pub sharing_in: Vec<(DomainIndex, usize)>,
 }
 
 impl FleetView {
+    /// Returns how many hosts of a failure domain share limits.
+    pub fn sharing_in(&self, domain: DomainIndex) -> usize {
+        self.sharing_in.iter().find(|(known, _)| *known == domain).map_or(0, |(_, hosts)| *hosts)
+    }
+
     /// Returns the hosts of a failure domain that are up and not leaving.
     pub fn working_in(&self, domain: DomainIndex) -> impl Iterator<Item = &Heartbeat> {
         self.up.iter().filter(move |h| h.domain == domain && h.phase == Phase::Ready)
@@ -202,9 +209,15 @@
     /// Makes the snapshot for the request path.
     pub fn view(&self, now: Monotonic) -> FleetView {
         let up = self.others.values().filter(|member| self.is_up(now, member));
+        let domains = self.others.values().map(|member| member.heartbeat.domain);
+        let mut sharing_in: BTreeMap<DomainIndex, usize> = BTreeMap::new();
+        for domain in domains.chain([self.me.domain]) {
+            *sharing_in.entry(domain).or_default() += 1;
+        }
         FleetView {
             up: up.map(|member| member.heartbeat).collect(),
             sharing: self.others.len() + 1,
+            sharing_in: sharing_in.into_iter().collect(),
         }
     }
 
--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -151,6 +151,11 @@
         self.typical.get(route).copied().unwrap_or_else(unseen)
     }
 
+    /// Returns how many times the usual time a server takes, if it was used before.
+    pub fn slowness(&self, now: Monotonic, server: &str) -> Option<f64> {
+        self.servers.get(server).map(|belief| belief.faded(now).0)
+    }
+
     /// Returns how long an attempt may take before it is overdue.
     pub fn patience(expected: Duration) -> Duration {
         expected.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE)
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -14,7 +14,7 @@
 use super::metrics::Metrics;
 use super::servers::belief::Beliefs;
 use super::servers::extra_budget::{ExtraBudget, ExtraLimit};
-use super::servers::registry::{Change, Registry, ServerView};
+use super::servers::registry::{Change, Registry, ServerRecord, ServerView};
 use super::servers::split::SplitDealer;
 use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
@@ -23,7 +23,7 @@
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
 use crate::ids::{ConfigVersion, DomainId, Revision};
-use crate::version::plan::Plan;
+use crate::version::plan::{Plan, Sharers};
 
 /// Servers that were not used for this long are forgotten.
 const FORGET_SERVERS_AFTER: Duration = Duration::from_secs(60);
@@ -41,7 +41,7 @@
     pub peer_port: u16,
     /// Hosts to ask first.
     pub seeds: Vec<Ipv4Addr>,
-    /// What this host can bear beside the others, in hundredths of a core.
+    /// What this host can bear beside the others, in hundredths of a core that has the link for it.
     pub weight: u16,
     /// The limit on attempts beyond the first.
     pub extra: ExtraLimit,
@@ -123,7 +123,7 @@
             told: Mutex::new(Some(told)),
             plan: ArcSwap::default(),
             servers: ArcSwap::default(),
-            fleet: ArcSwap::from_pointee(FleetView { up: Vec::new(), sharing: 1 }),
+            fleet: ArcSwap::from_pointee(FleetView { sharing: 1, ..FleetView::default() }),
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
             stopped: CancellationToken::new(),
@@ -162,6 +162,19 @@
         self.domains.get(domain).copied().unwrap_or(DomainIndex::MAX)
     }
 
+    /// Returns how many connections this host may hold to a server.
+    pub fn connection_share(&self, server: &ServerRecord) -> usize {
+        let fleet = self.fleet.load();
+        let plan = self.plan.load();
+        let domain = self.domain_index(&server.domain);
+        let sharers = Sharers {
+            near: server.domain == self.settings.domain,
+            near_hosts: fleet.sharing_in(domain),
+            hosts: fleet.sharing,
+        };
+        plan.connection_share(&server.service, server.slots, sharers)
+    }
+
     /// Returns the host that should relay requests to a failure domain: up, with the same plan, and
     /// with the fewest calls of this host for its weight.
     pub fn relay_in(&self, domain: DomainIndex, version: ConfigVersion) -> Option<Ipv4Addr> {
@@ -170,7 +183,7 @@
         let suspicion = self.suspicion();
         let fit = |h: &&Heartbeat| h.version == version && !suspicion.is_suspect(now, &h.ip);
         let cost = |h: &Heartbeat| {
-            let calls = self.peers.waiting(h.ip) as f64 + rand::random::<f64>();
+            let calls = self.peers.waiting(h.ip) as f64 + 1.0 + rand::random::<f64>();
             calls / f64::from(h.weight.max(1))
         };
         let fit = fleet.working_in(domain).filter(fit).map(|h| (h.ip, cost(h)));
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -100,17 +100,14 @@
     tried: impl Fn(&ServerId) -> bool,
 ) -> SmallVec<[Candidate; 4]> {
     let now = tier.now();
-    let sharing = tier.fleet.load().sharing;
-    let plan = tier.plan.load();
     let beliefs = tier.beliefs();
     let candidate = |server: &Arc<LiveServer>| {
         let record = &server.record;
-        let share = plan.connection_share(&record.service, record.slots, sharing);
         Candidate {
             standing: beliefs.standing(now, &record.id, record.slots, job.typical),
             near: record.domain == tier.settings.domain,
             tried: tried(&record.id),
-            full: !tier.pool.has_room(&record.id, share),
+            full: !tier.pool.has_room(&record.id, tier.connection_share(record)),
         }
     };
     servers.iter().map(candidate).collect()
@@ -238,9 +235,7 @@
     server: &LiveServer,
 ) -> Result<(B::Link, Slot<B::Link>), NotRunReason> {
     let record = &server.record;
-    let sharing = tier.fleet.load().sharing;
-    let share = tier.plan.load().connection_share(&record.service, record.slots, sharing);
-    let Some(slot) = tier.pool.reserve(&record.id, share) else {
+    let Some(slot) = tier.pool.reserve(&record.id, tier.connection_share(record)) else {
         return Err(NotRunReason::Overloaded);
     };
     let left = job.deadline.saturating_sub(tier.now()).min(CONNECT_TIMEOUT);
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -12,9 +12,12 @@
 use crate::process::tier::Tier;
 use crate::version::plan::{Route, Target};
 
-/// What an answer needs for its way back to the caller before the latency target, and what timers
-/// and the processor may add.
-const WAY_BACK: Duration = Duration::from_millis(9);
+/// What is taken off the latency target, which counts from the moment at which the caller began to
+/// connect: two or three ways between caller and host, timers and the merging of the parts. A few
+/// missing parts cost little, an answer that is late by a moment nearly all.
+const WAYS: Duration = Duration::from_millis(14);
+/// The same for what grows with the work, as a share of the target.
+const WAYS_SHARE: f64 = 0.03;
 /// The answer goes out this much before the deadline, so that it still arrives.
 const END_MARGIN: Duration = Duration::from_millis(25);
 /// When a caller that was refused for want of room may come back: after some usual requests.
@@ -111,7 +114,7 @@
     Job {
         call: request.call,
         deadline: began_at + patience.saturating_sub(END_MARGIN.min(patience / 4)),
-        answer_at: began_at + target_left.saturating_sub(WAY_BACK),
+        answer_at: began_at + target_left.saturating_sub(WAYS + target.mul_f64(WAYS_SHARE)),
         typical,
         pace: Pace::default(),
         route,
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -37,6 +37,10 @@
 const MAX_WAITING_FRAMES: usize = 512;
 /// After the first frame, parts that come within this are returned together.
 const COALESCE: Duration = Duration::from_millis(4);
+/// A server whose speed is known is late beyond this many times its own time.
+const KNOWN_LATE_FACTOR: f64 = 1.25;
+/// Servers of a service differ by no more than this; what is slower is in trouble.
+const MAX_SLOWNESS: f64 = 1.6;
 /// The pause after a connection could not be accepted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -178,6 +182,9 @@
             pace: Pace::default(),
             route: route.clone(),
         });
+        if call.pace_us > 0 {
+            job.pace.set(Duration::from_micros(u64::from(call.pace_us)));
+        }
         let purpose = if call.insists { Purpose::Needed } else { Purpose::Hedge };
         relayed.gather(&tier, &job, rule, &call.shards, purpose, &cancelled).await;
     }
@@ -212,7 +219,8 @@
         let mut times: Vec<(ServerId, Duration)> = Vec::with_capacity(sent);
         // What was declined goes back at once; the rest when it is in, or late.
         let mut flush_at = (!self.next.failed.is_empty()).then_some(self.began_at);
-        let mut late_at = Some(self.began_at + Beliefs::patience(job.typical));
+        let patience = job.pace.get().map_or_else(|| Beliefs::patience(job.typical), late_after);
+        let mut late_at = Some(self.began_at + patience);
         loop {
             if running.is_empty() {
                 self.flush(tier, job.pace.get()).await;
@@ -295,10 +303,10 @@
         id,
         pace_us: 0,
         elapsed_us: 0,
-        parts: SmallVec::new(),
+        parts: Vec::new(),
         records: Vec::new(),
         late: false,
-        failed: SmallVec::new(),
+        failed: Vec::new(),
     }
 }
 
@@ -307,6 +315,12 @@
     pace.mul_f64(LATE_FACTOR).max(pace + MIN_LATE)
 }
 
+/// Returns the same for a server of a known slowness.
+pub fn late_after_at(pace: Duration, slowness: f64) -> Duration {
+    let usual = pace.mul_f64(slowness.clamp(1.0, MAX_SLOWNESS));
+    usual.mul_f64(KNOWN_LATE_FACTOR).max(usual + MIN_LATE)
+}
+
 /// Notes the pace of the request once enough parts show it, and the speeds of their servers.
 fn note_pace<B: BackendProtocol>(
     tier: &Tier<B>,
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -12,7 +12,7 @@
 use super::attempt::{Job, attempt, choose, failure_of, patience};
 use super::parts::Parts;
 use super::pick::Purpose;
-use super::relay::late_after;
+use super::relay::{late_after, late_after_at};
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
 use super::way::{Group, Send, Way, group_far, start_relay};
@@ -440,7 +440,11 @@
                 Some(took) if !first.relayed => beliefs.on_speed(now, &first.server, took, pace),
                 Some(_) => {}
                 None if run.offers() == 1 && run.is_running() => {
-                    run.look_again(first.sent_at + late_after(pace) + grace);
+                    let late_after = match beliefs.slowness(now, &first.server) {
+                        Some(slowness) if !first.relayed => late_after_at(pace, slowness),
+                        Some(_) | None => late_after(pace),
+                    };
+                    run.look_again(first.sent_at + late_after + grace);
                 }
                 None => {}
             }
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 
 use super::attempt::Job;
-use crate::clock::{Monotonic, millis};
+use crate::clock::{Monotonic, micros, millis};
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::peer_frame::{PassedRequest, RelayCall, ShardIndex};
 use crate::connection::peer_links::PendingCall;
@@ -66,6 +66,9 @@
     }
 }
 
+/// The servers that an attempt might go to.
+type Options = SmallVec<[(Arc<LiveServer>, Standing); 4]>;
+
 /// Whether a relay must send even to a server that it would rather not, since no other is known.
 pub(super) type Insists = bool;
 
@@ -94,7 +97,7 @@
     let now = tier.now();
     let servers = tier.servers.load();
     let beliefs = tier.beliefs();
-    let sound = |send: &Send| -> SmallVec<[(Arc<LiveServer>, Standing); 4]> {
+    let sound = |send: &Send| -> Options {
         let standing = |server: &Arc<LiveServer>| {
             let record = &server.record;
             let standing = beliefs.standing(now, &record.id, record.slots, job.typical);
@@ -107,8 +110,7 @@
         })
         .collect()
     };
-    let mut options: Vec<SmallVec<[(Arc<LiveServer>, Standing); 4]>> =
-        moving.iter().map(sound).collect();
+    let mut options: Vec<Options> = moving.iter().map(sound).collect();
     drop(beliefs);
     while !moving.is_empty() {
         let Some(domain) = widest(&options) else { break };
@@ -138,7 +140,7 @@
 
 /// Returns the failure domain that has servers for the most attempts; equals in a random order, so
 /// that no domain gets all the work.
-fn widest(options: &[SmallVec<[(Arc<LiveServer>, Standing); 4]>]) -> Option<DomainId> {
+fn widest(options: &[Options]) -> Option<DomainId> {
     let mut counts: BTreeMap<&DomainId, f64> = BTreeMap::new();
     for (server, _) in options.iter().flatten() {
         *counts.entry(&server.record.domain).or_insert_with(rand::random::<f64>) += 1.0;
@@ -156,6 +158,7 @@
     sends: &[Send],
     insists: Insists,
 ) -> Option<PendingCall> {
+    let pace = job.pace.get();
     let shard = |send: &Send| ShardIndex::try_from(send.shard).ok();
     let call = RelayCall {
         id: 0,
@@ -163,6 +166,7 @@
         route: job.route.id.clone(),
         shards: sends.iter().map(shard).collect::<Option<_>>()?,
         insists,
+        pace_us: pace.and_then(|pace| u32::try_from(micros(pace)).ok()).unwrap_or(0),
         left_ms: u32::try_from(millis(job.deadline.saturating_sub(tier.now()))).ok()?,
         request: PassedRequest::from(&job.call),
     };
--- a/src/version/plan.rs
+++ b/src/version/plan.rs
@@ -14,6 +14,10 @@
 use crate::error::{Error, Result};
 use crate::ids::{ConfigVersion, ServiceId};
 
+/// The part of a server's connections that hosts of its failure domain may use, in percent; the
+/// rest is left to hosts that send from afar because a relay failed.
+const NEAR_PERCENT: usize = 90;
+
 /// Names a route of a plan.
 pub type RouteId = SmolStr;
 
@@ -138,6 +142,17 @@
     pub limits: CallerLimits,
 }
 
+/// The hosts that share a server's connections, as one of them sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sharers {
+    /// The asking host stands in the server's failure domain.
+    pub near: bool,
+    /// The hosts of the server's failure domain.
+    pub near_hosts: usize,
+    /// All hosts.
+    pub hosts: usize,
+}
+
 /// One version of the configuration, ready for use.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
@@ -199,13 +214,21 @@
     }
 
     /// Returns the connections that one host may hold to one server of a service that works on
-    /// `slots` requests at a time, where `hosts` share the server.
+    /// `slots` requests at a time.
     ///
-    /// More than the slots and one to wait helps nobody; and connections of hosts that lost power
-    /// count at the server until it notices, so a host that knows no other yet takes no more.
-    pub fn connection_share(&self, service: &str, slots: u32, hosts: usize) -> usize {
+    /// Near hosts come first, since others send by them. More than the slots and one to wait helps
+    /// nobody; and connections of hosts that lost power count at the server until it notices, so a
+    /// host that knows no other yet takes no more.
+    pub fn connection_share(&self, service: &str, slots: u32, sharers: Sharers) -> usize {
         let max = self.services.get(service).map_or(1, |terms| terms.max_connections as usize);
-        (max / hosts.max(1)).clamp(1, slots as usize + 1)
+        let most = slots as usize + 1;
+        let near = (max * NEAR_PERCENT / 100 / sharers.near_hosts.max(1)).clamp(1, most);
+        if sharers.near {
+            return near;
+        }
+        let left = max.saturating_sub(near * sharers.near_hosts);
+        let far_hosts = sharers.hosts.saturating_sub(sharers.near_hosts);
+        (left / far_hosts.max(1)).clamp(1, most)
     }
 }
 
--- a/src/version/plan/tests.rs
+++ b/src/version/plan/tests.rs
@@ -2,7 +2,7 @@
 
 use smallvec::smallvec;
 
-use super::{GatherRule, Plan, PlanDocument, Repeat, Route, Target};
+use super::{GatherRule, Plan, PlanDocument, Repeat, Route, ServiceTerms, Sharers, Target};
 
 fn route(id: &str, prefix: &str, target: Target) -> Route {
     Route {
@@ -108,3 +108,30 @@
         assert_eq!(rule.parts_needed(), case.needed, "{} of {}", case.floor, case.shards);
     }
 }
+
+#[test]
+fn shares_of_connections_add_up_to_no_more_than_the_limit() {
+    struct Case {
+        max: u32,
+        slots: u32,
+        near_hosts: usize,
+        hosts: usize,
+        near: usize,
+    }
+    let cases = [
+        Case { max: 26, slots: 2, near_hosts: 2, hosts: 8, near: 3 },
+        Case { max: 31, slots: 3, near_hosts: 2, hosts: 7, near: 4 },
+        Case { max: 55, slots: 2, near_hosts: 14, hosts: 66, near: 3 },
+        Case { max: 26, slots: 2, near_hosts: 0, hosts: 1, near: 3 },
+    ];
+    for case in cases {
+        let terms = ServiceTerms { max_connections: case.max, cold_per_s: None };
+        let services = [("s".into(), terms)].into();
+        let plan = Plan::new(PlanDocument { version: 1, services, ..PlanDocument::default() })
+            .expect("it is valid");
+        let sharers = Sharers { near: true, near_hosts: case.near_hosts, hosts: case.hosts };
+        let near = plan.connection_share("s", case.slots, sharers);
+        assert_eq!(near, case.near, "{} of {} hosts", case.near_hosts, case.hosts);
+        assert!(near * case.near_hosts <= case.max as usize);
+    }
+}
