--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -12,7 +12,7 @@
 use crate::ids::{ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::servers::belief::{AttemptEnd, Beliefs, Standing, Ticket};
-use crate::process::servers::registry::LiveServer;
+use crate::process::servers::registry::{LiveServer, ServerRecord};
 use crate::process::tier::Tier;
 use crate::request::pick::{Candidate, Purpose, pick};
 use crate::request::shard_run::ShardRun;
@@ -21,6 +21,9 @@
 /// A connection that is not open after this is given up: it takes servers some milliseconds, and
 /// hosts that are gone never answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A server resets a connection that it has forgotten as soon as something arrives: after two ways
+/// between failure domains and some processing.
+const FORGOTTEN_WITHIN: Duration = Duration::from_millis(8);
 /// A server that takes this many times the usual time is better left to hosts that know no other.
 const DECLINE_FACTOR: f64 = 2.5;
 /// How much the choice between equal servers varies.
@@ -188,7 +191,8 @@
     server: &LiveServer,
     watch: &mut Watch<'_, B>,
 ) -> Outcome<Reply> {
-    let id = &server.record.id;
+    let record = &server.record;
+    let id = &record.id;
     // A request that may run once goes only over a connection that surely lives, because a reset
     // on a stale one would leave open whether it ran.
     let idle_for = match job.route.repeat {
@@ -223,12 +227,34 @@
             Exchanged::Shed => Outcome::NotRun(NotRunReason::Shed),
             Exchanged::WrongServer => Outcome::NotRun(NotRunReason::ServerLeaving),
             Exchanged::Unsent if reused => continue,
+            Exchanged::Lost(UnknownReason::ConnectionLost)
+                if reused && is_forgotten(tier, job, record, began_at) =>
+            {
+                tier.pool.distrust(tier.now(), id);
+                continue;
+            }
             Exchanged::Unsent => Outcome::NotRun(NotRunReason::Unreachable),
             Exchanged::Lost(reason) => Outcome::Unknown(reason),
         };
     }
 }
 
+/// Tells whether a kept connection was reset because the server had forgotten it, in which case an
+/// idempotent request is sent over a new one; it counts as an attempt beyond the first, since it
+/// may have arrived.
+fn is_forgotten<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    record: &ServerRecord,
+    began_at: Monotonic,
+) -> bool {
+    let now = tier.now();
+    let at_once = now.saturating_sub(began_at) < FORGOTTEN_WITHIN;
+    let idempotent = job.route.repeat == Repeat::Idempotent;
+    let sharing = tier.fleet.load().sharing;
+    at_once && idempotent && tier.extra().try_spend(now, &record.service, sharing)
+}
+
 async fn open<B: BackendProtocol>(
     tier: &Tier<B>,
     job: &Job,
