A relay without room does not use up a shard's offers

Ruled out: servers' own refusals (51 of 1,960 reasons). What: such declines wait a little and count as nothing sent.

--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -169,7 +169,7 @@
         let request = call.request.into_call();
         let (Some(route), Some(rule), Some(request)) = (route, rule, request) else {
             // Without the same plan nothing is sent; the other host does it itself.
-            call.shards.iter().for_each(|shard| relayed.declined(*shard));
+            call.shards.iter().for_each(|shard| relayed.declined(*shard, Purpose::Hedge));
             relayed.flush(&tier, None).await;
             return;
         };
@@ -212,7 +212,7 @@
                         (shard, server.record.id.clone(), outcome)
                     });
                 }
-                None => self.declined(*shard),
+                None => self.declined(*shard, purpose),
             }
         }
         let sent = running.len();
@@ -278,8 +278,12 @@
         false
     }
 
-    fn declined(&mut self, shard: ShardIndex) {
-        let outcome = Outcome::NotRun(NotRunReason::NotOwner);
+    /// Notes that nothing is sent for a shard: another host had better, or there is no room.
+    fn declined(&mut self, shard: ShardIndex, purpose: Purpose) {
+        let outcome = Outcome::NotRun(match purpose {
+            Purpose::Hedge => NotRunReason::NotOwner,
+            Purpose::Needed => NotRunReason::Overloaded,
+        });
         self.next.failed.push(RelayFailure { shard, server: None, outcome });
     }
 
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -11,9 +11,10 @@
 /// How long after every allowed server has shed a request it may be offered again.
 const SHED_BACKOFF: Duration = Duration::from_millis(40);
 /// How often a shard without a usable server is looked at again.
-const RECHECK: Duration = Duration::from_millis(60);
-/// The most times that one request is offered to servers and relays that do not run it.
-const MAX_OFFERS: u32 = 6;
+const RECHECK: Duration = Duration::from_millis(15);
+/// The most times that servers may refuse one request; relays and hosts that could not send it do
+/// not count, since no server had work by it.
+const MAX_REFUSALS: u32 = 4;
 
 /// What to do about a shard next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +36,7 @@
     ran: u32,
     offers: u32,
     arrived: u32,
+    refusals: u32,
     answered: bool,
     act_at: Option<Monotonic>,
     failure: Option<Outcome<()>>,
@@ -90,7 +92,7 @@
 
     /// Tells whether any further attempt may be made beside or after those there were.
     pub fn may_send(&self, attempts: u32) -> bool {
-        !self.answered && self.ran + self.running < attempts && self.offers < MAX_OFFERS
+        !self.answered && self.ran + self.running < attempts && self.refusals < MAX_REFUSALS
     }
 
     /// Takes in an attempt; the shard wants another look at `overdue_at`.
@@ -145,13 +147,16 @@
         self.running = self.running.saturating_sub(1);
         match &failure {
             Outcome::NotRun(
-                NotRunReason::Unreachable | NotRunReason::ServerLeaving | NotRunReason::NotOwner,
+                NotRunReason::Unreachable
+                | NotRunReason::ServerLeaving
+                | NotRunReason::NotOwner
+                | NotRunReason::Overloaded,
             ) => {
                 // Nothing arrived there, so another server may take its place.
                 self.reached.retain(|reached| reached != server);
                 self.arrived = self.arrived.saturating_sub(1);
             }
-            Outcome::NotRun(_) => {}
+            Outcome::NotRun(_) => self.refusals += 1,
             Outcome::Unknown(_) | Outcome::Answered(()) => self.ran += 1,
         }
         self.failure = Some(failure);
--- a/src/request/shard_run/tests.rs
+++ b/src/request/shard_run/tests.rs
@@ -83,3 +83,18 @@
     assert_eq!(run.on_failure(NOW, &"b".into(), failure, ATTEMPTS), Next::Wait);
     assert!(run.is_answered() && !run.is_over());
 }
+
+#[test]
+fn relays_that_can_not_send_do_not_end_the_shard() {
+    let mut run = ShardRun::default();
+    let server = ServerId::from("a");
+    for n in 0..20 {
+        let now = NOW + Duration::from_millis(20 * n);
+        run.on_sent(&server, now);
+        let failure = Outcome::NotRun(NotRunReason::Overloaded);
+        assert_eq!(run.on_failure(now, &server, failure, ATTEMPTS), Next::Again);
+        run.on_no_server(now);
+        assert!(!run.is_over() && run.act_at() > Some(now), "it is tried again a little later");
+    }
+    assert!(!run.may_have_run() && run.may_send(ATTEMPTS) && !run.is_extra());
+}
