Keep cold servers within a published limit without owners

What: one sender a server by rendezvous, two thirds of the limit, so that two sides of a partition stay within the half more that is allowed.

--- /dev/null
+++ b/src/process/servers/cold/tests.rs
@@ -0,0 +1,42 @@
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use super::{ColdLoad, is_sender};
+use crate::ids::ServerId;
+
+fn host(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, n)
+}
+
+#[test]
+fn hosts_that_see_each_other_agree_on_one_sender() {
+    for server in ["a", "b", "c", "d"] {
+        let senders = (0..8).filter(|n| is_sender(host(*n), (0..8).map(host), server)).count();
+        assert_eq!(senders, 1, "{server}");
+    }
+}
+
+#[test]
+fn two_sides_of_a_partition_stay_within_what_servers_bear() {
+    struct Case {
+        per_s: f64,
+    }
+    for case in [Case { per_s: 1.0 }, Case { per_s: 4.0 }, Case { per_s: 40.0 }] {
+        let server = ServerId::from("a");
+        let mut sides = [ColdLoad::default(), ColdLoad::default()];
+        let mut sent: Vec<u64> = Vec::new();
+        for ms in 0..5_000 {
+            for side in &mut sides {
+                if side.try_send(Duration::from_millis(ms), &server, case.per_s) {
+                    sent.push(ms);
+                }
+            }
+        }
+        let most = sent
+            .iter()
+            .map(|from| sent.iter().filter(|at| **at >= *from && **at < from + 1_000).count());
+        let most = most.max().unwrap_or(0);
+        let bears = case.per_s * 1.5 + 5.0;
+        assert!(most as f64 <= bears, "{most} a second at a limit of {}", case.per_s);
+    }
+}
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -13,8 +13,9 @@
 use super::fleet::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
 use super::servers::belief::Beliefs;
+use super::servers::cold::{ColdLoad, is_sender};
 use super::servers::extra_budget::{ExtraBudget, ExtraLimit};
-use super::servers::registry::{Change, Registry, ServerRecord, ServerView};
+use super::servers::registry::{Change, LiveServer, Registry, ServerRecord, ServerView};
 use super::servers::split::SplitDealer;
 use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
@@ -88,6 +89,7 @@
     registry: Mutex<Registry>,
     members: Mutex<Members>,
     beliefs: Mutex<Beliefs>,
+    cold_load: Mutex<ColdLoad>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
     extra: Mutex<ExtraBudget>,
     split: Mutex<SplitDealer>,
@@ -131,6 +133,7 @@
             domains,
             registry: Mutex::default(),
             beliefs: Mutex::default(),
+            cold_load: Mutex::default(),
             suspicion: Mutex::default(),
             split: Mutex::default(),
             running: AtomicU32::new(0),
@@ -162,6 +165,42 @@
         self.domains.get(domain).copied().unwrap_or(DomainIndex::MAX)
     }
 
+    /// Returns the limit on requests per second that a server bears at present, if it has one.
+    fn cold_limit(&self, now: Monotonic, server: &LiveServer) -> Option<f64> {
+        if now >= server.cold_until {
+            return None;
+        }
+        self.plan.load().services.get(&server.record.service)?.cold_per_s
+    }
+
+    /// Tells whether this host may send to a server as far as its being cold goes.
+    pub fn may_send_cold(&self, server: &LiveServer) -> bool {
+        let now = self.now();
+        let Some(per_s) = self.cold_limit(now, server) else { return true };
+        let id = &server.record.id;
+        let domain = self.domain_index(&server.record.domain);
+        let fleet = self.fleet.load();
+        let near = || fleet.up.iter().filter(|h| h.domain == domain).map(|h| h.ip);
+        let sends = if server.record.domain == self.settings.domain {
+            is_sender(self.settings.ip, near(), id)
+        } else {
+            near().next().is_none()
+                && is_sender(self.settings.ip, fleet.up.iter().map(|h| h.ip), id)
+        };
+        sends && self.cold_load().has_room(now, id, per_s)
+    }
+
+    /// Counts a request that is about to be sent to a server; returns whether it may be.
+    pub fn try_send_cold(&self, server: &LiveServer) -> bool {
+        let now = self.now();
+        let Some(per_s) = self.cold_limit(now, server) else { return true };
+        self.may_send_cold(server) && self.cold_load().try_send(now, &server.record.id, per_s)
+    }
+
+    fn cold_load(&self) -> MutexGuard<'_, ColdLoad> {
+        self.cold_load.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns how many connections this host may hold to a server.
     pub fn connection_share(&self, server: &ServerRecord) -> usize {
         let fleet = self.fleet.load();
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -110,7 +110,8 @@
             standing: beliefs.standing(now, &record.id, record.slots, job.typical),
             near: record.domain == tier.settings.domain,
             tried: tried(&record.id),
-            full: !tier.pool.has_room(&record.id, tier.connection_share(record)),
+            full: !tier.pool.has_room(&record.id, tier.connection_share(record))
+                || !tier.may_send_cold(server),
         }
     };
     servers.iter().map(candidate).collect()
@@ -218,6 +219,9 @@
         if left.is_zero() {
             return Outcome::NotRun(NotRunReason::DeadlineTooClose);
         }
+        if !tier.try_send_cold(server) {
+            return Outcome::NotRun(NotRunReason::NoPermission);
+        }
         let exchanged = link.exchange(&job.call, id, left).await;
         if let Some(may_idle) = link.may_idle() {
             slot.give_back(tier.now(), link, began_at, may_idle);
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -150,6 +150,7 @@
                 NotRunReason::Unreachable
                 | NotRunReason::ServerLeaving
                 | NotRunReason::NotOwner
+                | NotRunReason::NoPermission
                 | NotRunReason::Overloaded,
             ) => {
                 // Nothing arrived there, so another server may take its place.
