--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -169,7 +169,12 @@
         let request = call.request.into_call();
         let (Some(route), Some(rule), Some(request)) = (route, rule, request) else {
             // Without the same plan nothing is sent; the other host does it itself.
-            call.shards.iter().for_each(|shard| relayed.declined(*shard, Purpose::Hedge));
+            let gone = |shard| RelayFailure {
+                shard,
+                server: None,
+                outcome: Outcome::NotRun(NotRunReason::VersionGone),
+            };
+            relayed.next.failed.extend(call.shards.iter().copied().map(gone));
             relayed.flush(&tier, None).await;
             return;
         };
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -83,6 +83,8 @@
     parts: Parts,
     record_count: usize,
     extra: u32,
+    /// A relay has another plan by now, so that no relay is asked any more.
+    direct_only: bool,
 }
 
 /// Sends a request to all shards of a route and gathers what comes in time.
@@ -107,6 +109,7 @@
         parts: Parts::default(),
         record_count: rule.record_count,
         extra: 0,
+        direct_only: false,
     };
     if scatter.reachable() < needed {
         return Outcome::NotRun(NotRunReason::Unreachable);
@@ -260,7 +263,7 @@
         let pick_first = |shard: usize| self.runs[shard].offers() == 0;
         let far = group_far(self.tier, self.job, self.shards, far, pick_first);
         for ((domain, insists), sends) in far {
-            let relay = self.tier.relay_in(domain, self.version);
+            let relay = self.tier.relay_in(domain, self.version).filter(|_| !self.direct_only);
             let call = relay.and_then(|host| {
                 start_relay(self.tier, self.job, host, self.version, &sends, insists)
             });
@@ -404,8 +407,12 @@
         for failure in frame.failed {
             let shard = usize::from(failure.shard);
             let Some(server) = self.groups[group].close(shard) else { continue };
-            if failure.server.is_none() {
-                self.tier.beliefs().on_declined(now, &server);
+            match failure.outcome {
+                Outcome::NotRun(NotRunReason::VersionGone) => self.direct_only = true,
+                _ if failure.server.is_none() => {
+                    self.tier.beliefs().on_declined(now, &server);
+                }
+                _ => {}
             }
             sends.extend(self.on_failure(shard, &server, failure.outcome));
         }
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -11,7 +11,9 @@
 /// How long after every allowed server has shed a request it may be offered again.
 const SHED_BACKOFF: Duration = Duration::from_millis(40);
 /// How often a shard without a usable server is looked at again.
-const RECHECK: Duration = Duration::from_millis(15);
+const RECHECK: Duration = Duration::from_millis(20);
+/// After this many offers, the next one waits even if the last was only declined.
+const MAX_OFFERS_AT_ONCE: u32 = 3;
 /// The most times that servers may refuse one request; relays and hosts that could not send it do
 /// not count, since no server had work by it.
 const MAX_REFUSALS: u32 = 4;
@@ -111,7 +113,10 @@
     pub fn on_no_server(&mut self, now: Monotonic) {
         self.shunned.clear();
         // A relay that declined the only server is asked again at once, and then insisted upon.
-        let declined = matches!(self.failure, Some(Outcome::NotRun(NotRunReason::NotOwner)));
+        let declined = matches!(
+            self.failure,
+            Some(Outcome::NotRun(NotRunReason::NotOwner | NotRunReason::VersionGone))
+        ) && self.offers <= MAX_OFFERS_AT_ONCE;
         if self.failure.is_none() {
             self.failure = Some(Outcome::NotRun(NotRunReason::Unreachable));
         }
@@ -151,6 +156,7 @@
                 | NotRunReason::ServerLeaving
                 | NotRunReason::NotOwner
                 | NotRunReason::NoPermission
+                | NotRunReason::VersionGone
                 | NotRunReason::Overloaded,
             ) => {
                 // Nothing arrived there, so another server may take its place.
--- a/src/request/shard_run/tests.rs
+++ b/src/request/shard_run/tests.rs
@@ -86,15 +86,28 @@
 
 #[test]
 fn relays_that_can_not_send_do_not_end_the_shard() {
-    let mut run = ShardRun::default();
-    let server = ServerId::from("a");
-    for n in 0..20 {
-        let now = NOW + Duration::from_millis(20 * n);
-        run.on_sent(&server, now);
-        let failure = Outcome::NotRun(NotRunReason::Overloaded);
-        assert_eq!(run.on_failure(now, &server, failure, ATTEMPTS), Next::Again);
-        run.on_no_server(now);
-        assert!(!run.is_over() && run.act_at() > Some(now), "it is tried again a little later");
+    struct Case {
+        reason: NotRunReason,
+        offers_at_once: u64,
+    }
+    let cases = [
+        Case { reason: NotRunReason::Overloaded, offers_at_once: 0 },
+        Case { reason: NotRunReason::NotOwner, offers_at_once: 3 },
+        Case { reason: NotRunReason::VersionGone, offers_at_once: 3 },
+    ];
+    for case in cases {
+        let mut run = ShardRun::default();
+        let server = ServerId::from("a");
+        for n in 0..20 {
+            let now = NOW + Duration::from_millis(20 * n);
+            run.on_sent(&server, now);
+            let failure = Outcome::NotRun(case.reason);
+            assert_eq!(run.on_failure(now, &server, failure, ATTEMPTS), Next::Again);
+            run.on_no_server(now);
+            assert!(!run.is_over(), "{:?}", case.reason);
+            let at_once = run.act_at() == Some(now);
+            assert_eq!(at_once, n < case.offers_at_once, "{:?}, offer {n}", case.reason);
+        }
+        assert!(!run.may_have_run() && run.may_send(ATTEMPTS) && !run.is_extra());
     }
-    assert!(!run.may_have_run() && run.may_send(ATTEMPTS) && !run.is_extra());
 }
