A server that another replaced gets no more requests; count what it refused as arrived

Ruled out: hedges (budgeted) and relays (each sent once a call). What: it counts as an arrival and a refusal, and the server gets nothing for two seconds. Also a process uses less of the allowance in its first window, since a former life may have spent it.

--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -32,6 +32,9 @@
 /// The pause after a failure to connect, and its upper bound when it is doubled.
 const FIRST_AVOID: Duration = Duration::from_millis(200);
 const MAX_AVOID: Duration = Duration::from_millis(1_600);
+/// A server whose address another one has gets nothing for this time, in which its entry lapses; a
+/// server that starts again under its name is used again after it.
+const REPLACED_FOR: Duration = Duration::from_millis(2_000);
 /// The pause after another host declined to send to a server: about a pause of a server, after
 /// which the other host is asked again.
 const DECLINED_FOR: Duration = Duration::from_millis(150);
@@ -54,6 +57,8 @@
     Failed,
     /// No connection could be made.
     Unreachable,
+    /// Another server answered at its address.
+    Replaced,
     /// It was given up without a reply.
     Abandoned,
     /// It was never handed to the server, for reasons of this host.
@@ -71,6 +76,8 @@
     pub stalled: bool,
     /// It should get no work for now.
     pub avoided: bool,
+    /// Another server has its address.
+    pub replaced: bool,
     /// A host that is nearer to it would not send to it a moment ago.
     pub declined: bool,
 }
@@ -92,6 +99,7 @@
     avoid_until: Monotonic,
     avoid_step: Duration,
     declined_until: Monotonic,
+    replaced_until: Monotonic,
     used_at: Monotonic,
 }
 
@@ -106,6 +114,7 @@
             avoid_until: Monotonic::ZERO,
             avoid_step: FIRST_AVOID,
             declined_until: Monotonic::ZERO,
+            replaced_until: Monotonic::ZERO,
             used_at: now,
         }
     }
@@ -175,6 +184,7 @@
                 in_flight: 0,
                 stalled: false,
                 avoided: false,
+                replaced: false,
                 declined: false,
             };
         };
@@ -188,6 +198,7 @@
             in_flight,
             stalled,
             avoided: now < belief.avoid_until || trial_only,
+            replaced: now < belief.replaced_until,
             declined: now < belief.declined_until,
         }
     }
@@ -266,6 +277,10 @@
                 belief.avoid(now);
                 true
             }
+            AttemptEnd::Replaced => {
+                belief.replaced_until = now + REPLACED_FOR;
+                true
+            }
             AttemptEnd::Abandoned => {
                 let waited = now.saturating_sub(sent_at.unwrap_or(now));
                 let Some(usual) = usual.filter(|usual| waited > *usual) else {
--- a/src/process/servers/extra_budget.rs
+++ b/src/process/servers/extra_budget.rs
@@ -13,6 +13,10 @@
 /// The parts into which the window is cut; a whole window always lies within them.
 const SLICES: u32 = 10;
 
+/// The part of the allowance that a process uses in the first window of its life, whose time starts
+/// at zero.
+const FIRST_WINDOW_SHARE: f64 = 0.4;
+
 /// The limit that all hosts keep together, for each service and window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ExtraLimit {
@@ -60,7 +64,10 @@
         let inside = |slice: &&Slice| slice.number + u64::from(SLICES) > newest;
         let first: u32 = slices.iter().filter(inside).map(|slice| slice.first).sum();
         let extra: u32 = slices.iter().map(|slice| slice.extra).sum();
-        let allowed = f64::from(first) * limit.ratio + limit.allowance / hosts.max(1) as f64;
+        // A former life of this process may have spent its part in the same window.
+        let share = if now < limit.window { FIRST_WINDOW_SHARE } else { 1.0 };
+        let allowance = limit.allowance * share / hosts.max(1) as f64;
+        let allowed = f64::from(first).mul_add(limit.ratio, allowance);
         let granted = f64::from(extra) + 1.0 <= allowed;
         if granted {
             self.slice(now, service).extra += 1;
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -106,12 +106,13 @@
     let beliefs = tier.beliefs();
     let candidate = |server: &Arc<LiveServer>| {
         let record = &server.record;
+        let standing = beliefs.standing(now, &record.id, record.slots, job.typical);
+        let room = tier.pool.has_room(&record.id, tier.connection_share(record));
         Candidate {
-            standing: beliefs.standing(now, &record.id, record.slots, job.typical),
+            standing,
             near: record.domain == tier.settings.domain,
             tried: tried(&record.id),
-            full: !tier.pool.has_room(&record.id, tier.connection_share(record))
-                || !tier.may_send_cold(server),
+            full: standing.replaced || !room || !tier.may_send_cold(server),
         }
     };
     servers.iter().map(candidate).collect()
@@ -145,7 +146,10 @@
         let avoided =
             self.tier.beliefs().on_end(now, id, self.ticket, self.job.pace.get(), self.end);
         if avoided {
-            if matches!(self.end, AttemptEnd::Abandoned | AttemptEnd::Unreachable) {
+            if matches!(
+                self.end,
+                AttemptEnd::Abandoned | AttemptEnd::Unreachable | AttemptEnd::Replaced
+            ) {
                 self.tier.pool.distrust(now, id);
             }
             tracing::info!(
@@ -178,9 +182,8 @@
         }
         Outcome::Answered(_) | Outcome::Unknown(_) => AttemptEnd::Failed,
         Outcome::NotRun(NotRunReason::Shed) => AttemptEnd::Shed,
-        Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::ServerLeaving) => {
-            AttemptEnd::Unreachable
-        }
+        Outcome::NotRun(NotRunReason::Unreachable) => AttemptEnd::Unreachable,
+        Outcome::NotRun(NotRunReason::ServerLeaving) => AttemptEnd::Replaced,
         Outcome::NotRun(_) => AttemptEnd::NotSent,
     };
     outcome
--- a/src/request/pick/tests.rs
+++ b/src/request/pick/tests.rs
@@ -12,6 +12,7 @@
             in_flight: 0,
             stalled: false,
             avoided: false,
+            replaced: false,
             declined: false,
         },
         near: true,
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -110,6 +110,7 @@
     tokio::select! {
         () = send => {}
         () = receive => {}
+        () = tier.stopped.cancelled() => {}
     }
     // Whoever asked is gone; nothing of it is wanted any more.
     for call in running.lock().expect("no holder of the lock panics").values() {
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -153,7 +153,6 @@
         match &failure {
             Outcome::NotRun(
                 NotRunReason::Unreachable
-                | NotRunReason::ServerLeaving
                 | NotRunReason::NotOwner
                 | NotRunReason::NoPermission
                 | NotRunReason::VersionGone
@@ -163,6 +162,11 @@
                 self.reached.retain(|reached| reached != server);
                 self.arrived = self.arrived.saturating_sub(1);
             }
+            Outcome::NotRun(NotRunReason::ServerLeaving) => {
+                // Another server has the address: it got the request, this one did not.
+                self.reached.retain(|reached| reached != server);
+                self.refusals += 1;
+            }
             Outcome::NotRun(_) => self.refusals += 1,
             Outcome::Unknown(_) | Outcome::Answered(()) => self.ran += 1,
         }
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -105,7 +105,8 @@
         };
         let far = servers.of(&shards[send.shard]).iter().map(standing);
         far.filter(|(server, standing)| {
-            let sound = !standing.stalled && !standing.avoided && !standing.declined;
+            let sound =
+                !standing.stalled && !standing.avoided && !standing.replaced && !standing.declined;
             sound && server.record.domain != tier.settings.domain
         })
         .collect()
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -21,6 +21,9 @@
 
 pub const NORTH: &str = "north";
 pub const SOUTH: &str = "south";
+/// Where hosts of the tests that use sockets listen for each other, and where they ask first.
+pub const PEER_PORT: u16 = 17_390;
+pub const SEEDS: [Ipv4Addr; 2] = [Ipv4Addr::new(127, 0, 6, 1), Ipv4Addr::new(127, 0, 6, 2)];
 pub const HOST: &str = "search.example";
 
 /// What a server does with requests.
@@ -186,13 +189,17 @@
 impl World {
     /// Starts with `shards` shards of two servers, all of which answer after [`WORK`].
     pub fn new(shards: usize) -> Self {
-        let servers = FakeServers::default();
+        Self::at(shards, Ipv4Addr::LOCALHOST, NORTH, FakeServers::default())
+    }
+
+    /// Does the same for a host of a given address and failure domain, before given servers.
+    pub fn at(shards: usize, ip: Ipv4Addr, domain: &str, servers: FakeServers) -> Self {
         let settings = TierSettings {
-            ip: Ipv4Addr::LOCALHOST,
-            domain: NORTH.into(),
+            ip,
+            domain: domain.into(),
             domains: vec![NORTH.into(), SOUTH.into()],
-            peer_port: 1,
-            seeds: Vec::new(),
+            peer_port: PEER_PORT,
+            seeds: SEEDS.to_vec(),
             weight: 25,
             extra: ExtraLimit { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
         };
