--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -15,11 +15,10 @@
 use super::relay::{late_after, late_after_at};
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
-use super::way::{Group, Send, Way, group_far, start_relay};
+use super::way::{Event, First, Group, Planned, Way, group_far, start_relay};
 use crate::clock::{Monotonic, micros};
 use crate::connection::exchange::{BackendProtocol, Reply, Signature};
 use crate::connection::peer_frame::RelayParts;
-use crate::connection::peer_links::PendingCall;
 use crate::ids::{ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::tier::Tier;
@@ -56,21 +55,6 @@
     pub records: Bytes,
 }
 
-/// Something that happened to an attempt.
-enum Event {
-    Direct(usize, ServerId, Outcome<Reply>),
-    Relayed(usize, PendingCall, Option<RelayParts>),
-}
-
-/// The first attempt at a shard.
-#[derive(Debug, Clone)]
-struct First {
-    server: ServerId,
-    sent_at: Monotonic,
-    relayed: bool,
-    took: Option<Duration>,
-}
-
 /// The shards of one request and the parts that are in.
 struct Scatter<'a, B: BackendProtocol> {
     tier: &'a Arc<Tier<B>>,
@@ -114,7 +98,7 @@
     if scatter.reachable() < needed {
         return Outcome::NotRun(NotRunReason::Unreachable);
     }
-    let first: Vec<Send> =
+    let first: Vec<Planned> =
         (0..rule.shards.len()).filter_map(|n| scatter.start(n, Purpose::Needed)).collect();
     let mut running: FuturesUnordered<_> = scatter.send(first).into_iter().map(wait).collect();
     let answer_at = tier.clock.instant(job.answer_at);
@@ -183,7 +167,7 @@
     }
 
     /// Returns further attempts at shards that wanted another look by now.
-    fn on_due(&mut self) -> Vec<Send> {
+    fn on_due(&mut self) -> Vec<Planned> {
         let now = self.tier.now();
         let due = |n: &usize| self.runs[*n].act_at().is_some_and(|at| at <= now);
         let due: SmallVec<[usize; 8]> = (0..self.runs.len()).filter(due).collect();
@@ -223,7 +207,7 @@
 
     /// Notes the next attempt at a shard and returns where it goes, if there is a server for it
     /// and the budget allows it.
-    fn start(&mut self, shard: usize, purpose: Purpose) -> Option<Send> {
+    fn start(&mut self, shard: usize, purpose: Purpose) -> Option<Planned> {
         let now = self.tier.now();
         let service = &self.shards[shard];
         let run = &mut self.runs[shard];
@@ -249,15 +233,15 @@
             }
             self.extra += 1;
         }
-        Some(Send { shard, server, standing })
+        Some(Planned { shard, server, standing })
     }
 
     /// Notes attempts and starts them: directly to near servers, by one relay for each other
     /// failure domain that has one.
-    fn send(&mut self, sends: Vec<Send>) -> Vec<Way<B>> {
+    fn send(&mut self, sends: Vec<Planned>) -> Vec<Way<B>> {
         let now = self.tier.now();
         let mut ways = Vec::with_capacity(sends.len());
-        let (near, far): (Vec<Send>, Vec<Send>) = sends
+        let (near, far): (Vec<Planned>, Vec<Planned>) = sends
             .into_iter()
             .partition(|send| send.server.record.domain == self.tier.settings.domain);
         let pick_first = |shard: usize| self.runs[shard].offers() == 0;
@@ -288,7 +272,7 @@
         ways
     }
 
-    fn direct(&self, send: Send) -> Way<B> {
+    fn direct(&self, send: Planned) -> Way<B> {
         Way::Direct {
             tier: self.tier.clone(),
             job: self.job.clone(),
@@ -298,7 +282,7 @@
         }
     }
 
-    fn note_sent(&mut self, now: Monotonic, send: &Send, relayed: bool) {
+    fn note_sent(&mut self, now: Monotonic, send: &Planned, relayed: bool) {
         let run = &mut self.runs[send.shard];
         let server = send.server.record.id.clone();
         let grace = if relayed { RELAY_GRACE } else { Duration::ZERO };
@@ -314,7 +298,7 @@
     }
 
     /// Takes in an event; returns further attempts, and the relayed call if more may come of it.
-    fn on_event(&mut self, event: Event) -> (Vec<Send>, Option<Way<B>>) {
+    fn on_event(&mut self, event: Event) -> (Vec<Planned>, Option<Way<B>>) {
         match event {
             Event::Direct(shard, server, outcome) => {
                 (self.on_direct(shard, &server, outcome).into_iter().collect(), None)
@@ -343,7 +327,7 @@
         shard: usize,
         server: &ServerId,
         outcome: Outcome<Reply>,
-    ) -> Option<Send> {
+    ) -> Option<Planned> {
         if let Outcome::Answered(reply) = &outcome
             && reply.is_success()
             && let Some(signature) = &reply.signature
@@ -364,7 +348,7 @@
         shard: usize,
         server: &ServerId,
         failure: Outcome<()>,
-    ) -> Option<Send> {
+    ) -> Option<Planned> {
         let run = &mut self.runs[shard];
         if run.is_answered() {
             return None;
@@ -375,7 +359,7 @@
         }
     }
 
-    fn on_parts(&mut self, group: usize, frame: RelayParts) -> Vec<Send> {
+    fn on_parts(&mut self, group: usize, frame: RelayParts) -> Vec<Planned> {
         let now = self.tier.now();
         self.groups[group].heard = true;
         tracing::debug!(
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -9,10 +9,11 @@
 
 use super::attempt::Job;
 use crate::clock::{Monotonic, micros, millis};
-use crate::connection::exchange::BackendProtocol;
-use crate::connection::peer_frame::{PassedRequest, RelayCall, ShardIndex};
+use crate::connection::exchange::{BackendProtocol, Reply};
+use crate::connection::peer_frame::{PassedRequest, RelayCall, RelayParts, ShardIndex};
 use crate::connection::peer_links::PendingCall;
 use crate::ids::{DomainId, ServerId, ServiceId};
+use crate::outcome::Outcome;
 use crate::process::fleet::members::DomainIndex;
 use crate::process::servers::belief::Standing;
 use crate::process::servers::registry::LiveServer;
@@ -20,7 +21,7 @@
 
 /// An attempt that is to be made.
 #[derive(Debug)]
-pub(super) struct Send {
+pub(super) struct Planned {
     pub(super) shard: usize,
     pub(super) server: Arc<LiveServer>,
     pub(super) standing: Standing,
@@ -41,6 +42,21 @@
     },
 }
 
+/// Something that happened to an attempt.
+pub(super) enum Event {
+    Direct(usize, ServerId, Outcome<Reply>),
+    Relayed(usize, PendingCall, Option<RelayParts>),
+}
+
+/// The first attempt at a shard.
+#[derive(Debug, Clone)]
+pub(super) struct First {
+    pub(super) server: ServerId,
+    pub(super) sent_at: Monotonic,
+    pub(super) relayed: bool,
+    pub(super) took: Option<Duration>,
+}
+
 /// The shards that one relay was asked for.
 #[derive(Debug)]
 pub(super) struct Group {
@@ -53,7 +69,7 @@
 }
 
 impl Group {
-    pub(super) fn new(host: Ipv4Addr, sent_at: Monotonic, sends: Vec<Send>) -> Self {
+    pub(super) fn new(host: Ipv4Addr, sent_at: Monotonic, sends: Vec<Planned>) -> Self {
         let open = sends.into_iter().map(|send| (send.shard, send.server.record.id.clone()));
         Self { host, sent_at, heard: false, suspected: false, open: open.collect() }
     }
@@ -80,16 +96,16 @@
     tier: &Tier<B>,
     job: &Job,
     shards: &[ServiceId],
-    sends: Vec<Send>,
+    sends: Vec<Planned>,
     may_move: impl Fn(usize) -> bool,
-) -> Vec<((DomainIndex, Insists), Vec<Send>)> {
-    let mut groups: BTreeMap<(DomainIndex, Insists), Vec<Send>> = BTreeMap::new();
-    let key = |send: &Send| {
+) -> Vec<((DomainIndex, Insists), Vec<Planned>)> {
+    let mut groups: BTreeMap<(DomainIndex, Insists), Vec<Planned>> = BTreeMap::new();
+    let key = |send: &Planned| {
         let standing = &send.standing;
         let insists = standing.stalled || standing.avoided || standing.declined;
         (tier.domain_index(&send.server.record.domain), insists)
     };
-    let (mut moving, fixed): (Vec<Send>, Vec<Send>) =
+    let (mut moving, fixed): (Vec<Planned>, Vec<Planned>) =
         sends.into_iter().partition(|send| may_move(send.shard));
     for send in fixed {
         groups.entry(key(&send)).or_default().push(send);
@@ -97,7 +113,7 @@
     let now = tier.now();
     let servers = tier.servers.load();
     let beliefs = tier.beliefs();
-    let sound = |send: &Send| -> Options {
+    let sound = |send: &Planned| -> Options {
         let standing = |server: &Arc<LiveServer>| {
             let record = &server.record;
             let standing = beliefs.standing(now, &record.id, record.slots, job.typical);
@@ -156,11 +172,11 @@
     job: &Job,
     host: Ipv4Addr,
     version: u64,
-    sends: &[Send],
+    sends: &[Planned],
     insists: Insists,
 ) -> Option<PendingCall> {
     let pace = job.pace.get();
-    let shard = |send: &Send| ShardIndex::try_from(send.shard).ok();
+    let shard = |send: &Planned| ShardIndex::try_from(send.shard).ok();
     let call = RelayCall {
         id: 0,
         version,
