An idle connection that is not trusted makes room for a new one

Cause: a request that may run once takes no connection that idled for 0.7 s; where the host's share of the server's connections was used up by it, the request was refused, again and again, until the idle connection ran out (found by the test of slow heads, where the share is one). Change: the oldest idle connection is closed to make room. Test: fails before with a refusal.

--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -63,12 +63,17 @@
         entry.idle.pop().map(|idle| idle.link)
     }
 
-    /// Counts a connection that is about to be opened, unless `limit` are open.
+    /// Counts a connection that is about to be opened, unless `limit` are in use. An idle one that
+    /// was not taken makes room, since its holder did not trust it with this request.
     pub fn reserve(self: &Arc<Self>, server: &ServerId, limit: usize) -> Option<Slot<L>> {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         let entry = servers.entry(server.clone()).or_default();
         if entry.open >= limit {
-            return None;
+            if entry.idle.is_empty() {
+                return None;
+            }
+            entry.idle.remove(0);
+            entry.open = entry.open.saturating_sub(1);
         }
         entry.open += 1;
         Some(Slot { pool: self.clone(), server: server.clone(), kept: false })
--- a/tests/tier/dropped_idle_connections.rs
+++ b/tests/tier/dropped_idle_connections.rs
@@ -36,3 +36,14 @@
     let far = seen.runs.iter().filter(|(_, at)| (0..5).any(|n| *at == addr(n, SOUTH))).count();
     assert_eq!(far, 0, "the near servers are still used");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_may_be_stale_makes_room_for_a_new_one() {
+    let mut world = World::with_connections(1);
+    for _ in 0..3 {
+        let (served, _) = world.serve("once").await;
+        assert!(matches!(served.outcome, Outcome::Answered(_)), "{:?}", served.outcome);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    assert_eq!(world.servers.seen().connections, 3);
+}
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method};
 use quetzalpoint::UnknownReason;
 use quetzalpoint::connection::exchange::{BackendProtocol, Call, Exchange, Exchanged, Reply};
-use quetzalpoint::ids::{ServerId, ServiceId};
+use quetzalpoint::ids::{RegionId, ServerId, ServiceId};
 use quetzalpoint::process::servers::extra_budget::ExtraLimit;
 use quetzalpoint::process::servers::registry::{Change, Fact, ServerRecord};
 use quetzalpoint::process::tier::{Tier, TierSettings};
@@ -18,6 +18,7 @@
 use quetzalpoint::version::plan::{
     GatherRule, Plan, PlanDocument, Repeat, Route, ServiceTerms, Target,
 };
+use smallvec::{SmallVec, smallvec};
 
 pub const NORTH: &str = "north";
 pub const SOUTH: &str = "south";
@@ -25,6 +26,8 @@
 pub const PEER_PORT: u16 = 17_390;
 pub const SEEDS: [Ipv4Addr; 2] = [Ipv4Addr::new(127, 0, 6, 1), Ipv4Addr::new(127, 0, 6, 2)];
 pub const HOST: &str = "search.example";
+/// The connections that a server accepts, where a test says nothing else.
+const MAX_CONNECTIONS: u32 = 20;
 
 /// What a server does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -170,6 +173,11 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
+/// Each failure domain stands in a region of its own.
+pub fn region(domain: &str) -> RegionId {
+    format!("region-{domain}").into()
+}
+
 pub fn service(shard: usize) -> ServiceId {
     format!("shard-{shard}").into()
 }
@@ -192,12 +200,27 @@
         Self::at(shards, Ipv4Addr::LOCALHOST, NORTH, FakeServers::default())
     }
 
+    /// Starts with one shard whose servers accept few connections.
+    pub fn with_connections(max_connections: u32) -> Self {
+        Self::build(1, Ipv4Addr::LOCALHOST, NORTH, FakeServers::default(), max_connections)
+    }
+
     /// Does the same for a host of a given address and failure domain, before given servers.
     pub fn at(shards: usize, ip: Ipv4Addr, domain: &str, servers: FakeServers) -> Self {
+        Self::build(shards, ip, domain, servers, MAX_CONNECTIONS)
+    }
+
+    fn build(
+        shards: usize,
+        ip: Ipv4Addr,
+        domain: &str,
+        servers: FakeServers,
+        max_connections: u32,
+    ) -> Self {
         let settings = TierSettings {
             ip,
             domain: domain.into(),
-            domains: vec![NORTH.into(), SOUTH.into()],
+            domains: [NORTH, SOUTH].map(|domain| (domain.into(), region(domain))).into(),
             peer_port: PEER_PORT,
             seeds: SEEDS.to_vec(),
             weight: 25,
@@ -214,16 +237,24 @@
             latency_target: Duration::from_millis(200),
             priority: 1,
             target,
+            regions: SmallVec::new(),
+        };
+        let home = |id: &str, target, domain| Route {
+            regions: smallvec![region(domain)],
+            ..route(id, Repeat::Idempotent, target)
         };
         let gather = Target::Gather(GatherRule {
             shards: (0..shards).map(service).collect(),
             record_count: 5,
             coverage_floor: 0.8,
         });
-        let terms = ServiceTerms { max_connections: 20, cold_per_s: None };
+        let terms = ServiceTerms { max_connections, cold_per_s: None };
         let plan = PlanDocument {
             version: 1,
             routes: vec![
+                home("home-all", gather.clone(), SOUTH),
+                home("home-one", Target::Service(service(0)), SOUTH),
+                home("home-nowhere", gather.clone(), "west"),
                 route("all", Repeat::Idempotent, gather),
                 route("one", Repeat::Idempotent, Target::Service(service(0))),
                 route("once", Repeat::NonIdempotent, Target::Service(service(0))),
