Keep requests of routes with homes inside their regions

Change: a plan's routes name regions; servers of other regions are never candidates, relays are asked only in domains that may run it, and the directory names hosts of the caller's region before others. Tests: tests/tier/home_regions.rs, directory tests.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -8,6 +8,8 @@
 pub type HostId = SmolStr;
 /// Names a failure domain.
 pub type DomainId = SmolStr;
+/// Names a region, which holds failure domains.
+pub type RegionId = SmolStr;
 /// Names a backend server.
 pub type ServerId = SmolStr;
 /// Names one life of a backend server; it changes whenever the server starts again.
--- a/src/process/fleet/directory.rs
+++ b/src/process/fleet/directory.rs
@@ -5,6 +5,7 @@
 
 use super::members::{DomainIndex, FleetView, Heartbeat, Phase};
 use crate::connection::exchange::BackendProtocol;
+use crate::ids::{DomainId, RegionId};
 use crate::process::tier::Tier;
 
 /// How long callers may keep an answer. Some keep it three times as long, which still lies within
@@ -27,28 +28,39 @@
     weight: u16,
 }
 
-/// Returns the hosts for callers that stand in a failure domain, or in none that is known.
-pub fn hosts_for<B: BackendProtocol>(tier: &Tier<B>, domain: &str) -> Vec<Ipv4Addr> {
+/// Where a caller stands; a domain that is not known is taken for none.
+#[derive(Debug, Clone, Copy)]
+struct Place<'a> {
+    domain: DomainIndex,
+    /// The domains of the caller's region.
+    region: &'a [DomainIndex],
+}
+
+/// Returns the hosts for callers that stand in a failure domain of a region.
+pub fn hosts_for<B: BackendProtocol>(tier: &Tier<B>, domain: &str, region: &str) -> Vec<Ipv4Addr> {
+    let domains = &tier.settings.domains;
+    let region = domains.get(domain).map_or(region, RegionId::as_str);
+    let same =
+        |(domain, of): (&DomainId, &RegionId)| (*of == region).then(|| tier.domain_index(domain));
+    let region: Vec<DomainIndex> = domains.iter().filter_map(same).collect();
+    let place = Place { domain: tier.domain_index(domain), region: &region };
     let me = tier.is_ready().then(|| Choice {
         ip: tier.settings.ip,
         domain: tier.domain_index(&tier.settings.domain),
         weight: tier.settings.weight,
     });
     let turn = rand::random::<u16>().into();
-    choose(&tier.fleet.load(), me, tier.domain_index(domain), turn)
+    choose(&tier.fleet.load(), me, place, turn)
 }
 
-/// Chooses strong hosts of the domain first, and others only where it has too few.
-fn choose(
-    fleet: &FleetView,
-    me: Option<Choice>,
-    domain: DomainIndex,
-    turn: usize,
-) -> Vec<Ipv4Addr> {
+/// Chooses strong hosts of the domain first, and others only where it has too few: those of the
+/// caller's region before those beyond it.
+fn choose(fleet: &FleetView, me: Option<Choice>, place: Place<'_>, turn: usize) -> Vec<Ipv4Addr> {
     let choice = |h: &Heartbeat| Choice { ip: h.ip, domain: h.domain, weight: h.weight };
     let others = fleet.up.iter().filter(|h| h.phase == Phase::Ready).map(choice);
     let ready = me.into_iter().chain(others);
-    let (mut near, mut far): (Vec<Choice>, Vec<Choice>) = ready.partition(|c| c.domain == domain);
+    let (mut near, mut far): (Vec<Choice>, Vec<Choice>) =
+        ready.partition(|c| c.domain == place.domain);
     near.sort_by_key(|choice| (std::cmp::Reverse(choice.weight), choice.ip));
     let strongest = near.first().map_or(0.0, |choice| f64::from(choice.weight));
     let strong = |choice: &&Choice| f64::from(choice.weight) >= strongest * WEAK_SHARE;
@@ -57,7 +69,10 @@
     let lacking = MIN_HOSTS.saturating_sub(hosts.len()).min(far.len());
     if lacking > 0 {
         far.sort_by_key(|choice| choice.ip);
-        hosts.extend((0..lacking).map(|n| far[(turn + n) % far.len()].ip));
+        let first = turn % far.len();
+        far.rotate_left(first);
+        far.sort_by_key(|choice| !place.region.contains(&choice.domain));
+        hosts.extend(far.iter().take(lacking).map(|choice| choice.ip));
     }
     hosts.truncate(MAX_HOSTS);
     hosts
--- a/src/process/fleet/directory/tests.rs
+++ b/src/process/fleet/directory/tests.rs
@@ -1,6 +1,6 @@
 use std::net::Ipv4Addr;
 
-use super::choose;
+use super::{Place, choose};
 use crate::process::fleet::members::{FleetView, Heartbeat, Phase};
 
 fn host(n: u8, domain: u8, phase: Phase) -> Heartbeat {
@@ -64,14 +64,33 @@
             hosts: 2,
             near: 2,
         },
+        Case {
+            name: "a host beyond the region only where the region has none",
+            up: vec![ready(1, 2), ready(2, 2)],
+            domain: 0,
+            hosts: 2,
+            near: 0,
+        },
         Case { name: "nobody", up: vec![], domain: 0, hosts: 0, near: 0 },
     ];
     for case in cases {
         let fleet = FleetView { up: case.up, ..FleetView::default() };
         for turn in 0..3 {
-            let hosts = choose(&fleet, None, case.domain, turn);
+            let place = Place { domain: case.domain, region: &[0, 1] };
+            let hosts = choose(&fleet, None, place, turn);
             let near = hosts.iter().filter(|ip| ip.octets()[1] == case.domain).count();
             assert_eq!((hosts.len(), near), (case.hosts, case.near), "{}", case.name);
         }
     }
 }
+
+#[test]
+fn hosts_of_the_callers_region_come_before_others() {
+    let ready = |n, domain| host(n, domain, Phase::Ready);
+    let up = vec![ready(1, 0), ready(2, 2), ready(3, 3), ready(4, 1)];
+    let fleet = FleetView { up, ..FleetView::default() };
+    for turn in 0..4 {
+        let hosts = choose(&fleet, None, Place { domain: 0, region: &[0, 1] }, turn);
+        assert_eq!(hosts, [Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::new(10, 1, 0, 4)], "{turn}");
+    }
+}
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -1,6 +1,6 @@
 //! What every request of a running host shares: the plan, the servers, the fleet and beliefs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -23,8 +23,8 @@
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
-use crate::ids::{ConfigVersion, DomainId, Revision};
-use crate::version::plan::{Plan, Sharers};
+use crate::ids::{ConfigVersion, DomainId, RegionId, Revision};
+use crate::version::plan::{Plan, Route, Sharers};
 
 /// Servers that were not used for this long are forgotten.
 const FORGET_SERVERS_AFTER: Duration = Duration::from_secs(60);
@@ -36,8 +36,8 @@
     pub ip: Ipv4Addr,
     /// The failure domain it stands in.
     pub domain: DomainId,
-    /// All failure domains.
-    pub domains: Vec<DomainId>,
+    /// All failure domains, with the region that each stands in.
+    pub domains: BTreeMap<DomainId, RegionId>,
     /// The port on which every host listens for the others.
     pub peer_port: u16,
     /// Hosts to ask first.
@@ -51,9 +51,7 @@
 impl TierSettings {
     /// Returns where a failure domain stands in the sorted list of all.
     pub fn domain_index(&self, domain: &str) -> DomainIndex {
-        let mut sorted: Vec<&DomainId> = self.domains.iter().collect();
-        sorted.sort_unstable();
-        let at = sorted.iter().position(|known| *known == domain);
+        let at = self.domains.keys().position(|known| *known == domain);
         at.and_then(|at| DomainIndex::try_from(at).ok()).unwrap_or(DomainIndex::MAX)
     }
 }
@@ -102,7 +100,7 @@
         let clock = Clock::start();
         let (facts, told) = mpsc::unbounded_channel();
         let index = |domain: &DomainId| (domain.clone(), settings.domain_index(domain));
-        let domains: HashMap<_, _> = settings.domains.iter().map(index).collect();
+        let domains: HashMap<_, _> = settings.domains.keys().map(index).collect();
         let me = Heartbeat {
             ip: settings.ip,
             life: 1,
@@ -165,6 +163,12 @@
         self.domains.get(domain).copied().unwrap_or(DomainIndex::MAX)
     }
 
+    /// Tells whether requests of a route may go to servers of a failure domain.
+    pub fn may_run_in(&self, route: &Route, domain: &str) -> bool {
+        let region = || self.settings.domains.get(domain);
+        route.regions.is_empty() || region().is_some_and(|region| route.regions.contains(region))
+    }
+
     /// Returns the limit on requests per second that a server bears at present, if it has one.
     fn cold_limit(&self, now: Monotonic, server: &LiveServer) -> Option<f64> {
         if now >= server.cold_until {
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -112,7 +112,10 @@
             standing,
             near: record.domain == tier.settings.domain,
             tried: tried(&record.id),
-            full: standing.replaced || !room || !tier.may_send_cold(server),
+            full: standing.replaced
+                || !room
+                || !tier.may_run_in(&job.route, &record.domain)
+                || !tier.may_send_cold(server),
         }
     };
     servers.iter().map(candidate).collect()
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -21,6 +21,7 @@
 use crate::connection::peer_frame::RelayParts;
 use crate::ids::{ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::servers::registry::LiveServer;
 use crate::process::tier::Tier;
 use crate::version::plan::GatherRule;
 
@@ -154,7 +155,9 @@
     /// Returns how many shards have a server that may get work.
     fn reachable(&self) -> usize {
         let servers = self.tier.servers.load();
-        self.shards.iter().filter(|shard| !servers.of(shard).is_empty()).count()
+        let fit =
+            |server: &Arc<LiveServer>| self.tier.may_run_in(&self.job.route, &server.record.domain);
+        self.shards.iter().filter(|shard| servers.of(shard).iter().any(fit)).count()
     }
 
     /// Returns how many shards are in or may still come in.
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -123,7 +123,8 @@
         far.filter(|(server, standing)| {
             let sound =
                 !standing.stalled && !standing.avoided && !standing.replaced && !standing.declined;
-            sound && server.record.domain != tier.settings.domain
+            let domain = &server.record.domain;
+            sound && *domain != tier.settings.domain && tier.may_run_in(&job.route, domain)
         })
         .collect()
     };
--- a/src/version/plan.rs
+++ b/src/version/plan.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::error::{Error, Result};
-use crate::ids::{ConfigVersion, ServiceId};
+use crate::ids::{ConfigVersion, RegionId, ServiceId};
 
 /// The part of a server's connections that hosts of its failure domain may use, in percent; the
 /// rest is left to hosts that send from afar because a relay failed.
@@ -81,6 +81,8 @@
     pub priority: u32,
     /// Where its requests go.
     pub target: Target,
+    /// The only regions whose servers may get its requests; none listed means any.
+    pub regions: SmallVec<[RegionId; 2]>,
 }
 
 impl Route {
--- a/src/version/plan/tests.rs
+++ b/src/version/plan/tests.rs
@@ -14,6 +14,7 @@
         timeout: Duration::from_secs(2),
         latency_target: Duration::from_millis(200),
         priority: 1,
+        regions: smallvec::SmallVec::new(),
         target,
     }
 }
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -5,6 +5,7 @@
 mod dropped_idle_connections;
 mod facts_from_peers;
 mod fake;
+mod home_regions;
 mod leaving_servers;
 mod lost_relays;
 mod lost_replies;
