One module for the pace of a request; relays and gathering share it and the time to linger

The pace was worked out twice (request/relay.rs, request/scatter.rs), whose constants imported each other.

--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt at one backend server.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures::{Stream, StreamExt};
 use smallvec::SmallVec;
 
-use crate::clock::{Monotonic, micros};
+use crate::clock::Monotonic;
 use crate::connection::exchange::{BackendProtocol, Call, Exchange, Exchanged, Reply};
 use crate::connection::server_pool::{SURELY_ALIVE, Slot};
 use crate::ids::{ServerId, ServiceId};
@@ -14,6 +14,7 @@
 use crate::process::servers::belief::{AttemptEnd, Beliefs, Standing, Ticket};
 use crate::process::servers::registry::{LiveServer, ServerRecord};
 use crate::process::tier::Tier;
+use crate::request::pace::Pace;
 use crate::request::pick::{Candidate, Purpose, pick};
 use crate::request::shard_run::ShardRun;
 use crate::version::plan::{Repeat, Route};
@@ -29,6 +30,10 @@
 /// How much the choice between equal servers varies.
 const JITTER: f64 = 0.1;
 
+/// Attempts that still run when the answer is given may end within this time: closing their
+/// connections would cost new ones, and their replies show which servers speak again.
+const LINGER: Duration = Duration::from_millis(350);
+
 /// A request on its way, as all its attempts share it.
 #[derive(Debug)]
 pub struct Job {
@@ -46,24 +51,6 @@
     pub pace: Pace,
 }
 
-/// How long one request takes at a usual server; requests of one route differ much more than
-/// servers do, so only this tells which server is slow.
-#[derive(Debug, Default)]
-pub struct Pace(AtomicU64);
-
-impl Pace {
-    /// Notes the pace.
-    pub fn set(&self, usual: Duration) {
-        self.0.store(micros(usual).max(1), Ordering::Relaxed);
-    }
-
-    /// Returns the pace, if it shows by now.
-    pub fn get(&self) -> Option<Duration> {
-        let usual_us = self.0.load(Ordering::Relaxed);
-        (usual_us > 0).then(|| Duration::from_micros(usual_us))
-    }
-}
-
 /// Chooses the server for the next attempt at a service.
 pub fn choose<B: BackendProtocol>(
     tier: &Tier<B>,
@@ -285,6 +272,13 @@
     }
 }
 
+/// Lets attempts whose results are not wanted any more end for a while.
+pub async fn linger(mut running: impl Stream + Unpin) {
+    let all = async { while running.next().await.is_some() {} };
+    // What still runs after it is dropped, which closes its connection.
+    let _ = tokio::time::timeout(LINGER, all).await;
+}
+
 /// Returns how long an attempt may take before another one is worth trying.
 pub fn patience(standing: &Standing) -> Duration {
     Beliefs::patience(standing.expected)
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::attempt::{Job, Pace};
+use super::attempt::Job;
+use super::pace::Pace;
 use super::scatter::{Gathered, scatter};
 use super::single::single;
 use crate::clock::{Monotonic, millis};
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub mod gather;
 pub mod http;
 pub mod keeper;
+pub mod pace;
 pub mod parts;
 pub mod pick;
 pub mod query;
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -16,10 +16,10 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use super::attempt::{Job, Pace, attempt, choose_near, failure_of};
+use super::attempt::{Job, attempt, choose_near, failure_of, linger};
+use super::pace::{Pace, late_after};
 use super::pick::Purpose;
 use super::records::TopRecords;
-use super::scatter::{LATE_FACTOR, LINGER, MIN_LATE, PACE_SHARE};
 use super::timer::sleep_until;
 use crate::clock::{Monotonic, micros};
 use crate::connection::exchange::{BackendProtocol, Reply};
@@ -37,10 +37,6 @@
 const MAX_WAITING_FRAMES: usize = 512;
 /// After the first frame, parts that come within this are returned together.
 const COALESCE: Duration = Duration::from_millis(4);
-/// A server whose speed is known is late beyond this many times its own time.
-const KNOWN_LATE_FACTOR: f64 = 1.25;
-/// Servers of a service differ by no more than this; what is slower is in trouble.
-const MAX_SLOWNESS: f64 = 1.6;
 /// The pause after a connection could not be accepted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -264,9 +260,7 @@
                 () = cancelled.cancelled() => break,
             }
         }
-        // The others may end: closing their connections would cost new ones.
-        let all = async { while running.next().await.is_some() {} };
-        let _ = tokio::time::timeout(LINGER, all).await;
+        linger(running).await;
     }
 
     /// Takes in the end of an attempt; returns whether it brought a part.
@@ -320,17 +314,6 @@
     }
 }
 
-/// Returns how long after the sending a server is late for a request of this pace.
-pub fn late_after(pace: Duration) -> Duration {
-    pace.mul_f64(LATE_FACTOR).max(pace + MIN_LATE)
-}
-
-/// Returns the same for a server of a known slowness.
-pub fn late_after_at(pace: Duration, slowness: f64) -> Duration {
-    let usual = pace.mul_f64(slowness.clamp(1.0, MAX_SLOWNESS));
-    usual.mul_f64(KNOWN_LATE_FACTOR).max(usual + MIN_LATE)
-}
-
 /// Notes the pace of the request once enough parts show it, and the speeds of their servers.
 fn note_pace<B: BackendProtocol>(
     tier: &Tier<B>,
@@ -338,13 +321,7 @@
     times: &[(ServerId, Duration)],
     sent: usize,
 ) {
-    if job.pace.get().is_some() || (times.len() as f64) < sent as f64 * PACE_SHARE {
-        return;
-    }
-    let mut sorted: Vec<Duration> = times.iter().map(|(_, took)| *took).collect();
-    sorted.sort_unstable();
-    let pace = sorted[sorted.len() * 5 / 6];
-    job.pace.set(pace);
+    let Some(pace) = job.pace.show(times.iter().map(|(_, took)| *took), sent) else { return };
     let now = tier.now();
     let mut beliefs = tier.beliefs();
     beliefs.on_request(&job.route.id, pace, job.route.latency_target);
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -9,10 +9,10 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use super::attempt::{Job, attempt, choose, failure_of, patience};
+use super::attempt::{Job, attempt, choose, failure_of, linger, patience};
+use super::pace::{late_after, late_after_at};
 use super::parts::Parts;
 use super::pick::Purpose;
-use super::relay::{late_after, late_after_at};
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
 use super::way::{Event, First, Group, Planned, Way, group_far, start_relay};
@@ -25,16 +25,6 @@
 use crate::process::tier::Tier;
 use crate::version::plan::GatherRule;
 
-/// Attempts that still run when the answer is given may end within this time: closing their
-/// connections would cost new ones, and their replies show which servers speak again.
-pub(crate) const LINGER: Duration = Duration::from_millis(350);
-/// Once this share of the shards is in, their times show the pace of the request.
-pub(crate) const PACE_SHARE: f64 = 0.5;
-/// A server is late for a request beyond this many times the pace: servers differ by a third
-/// either way, and pauses last ten times as long.
-pub(crate) const LATE_FACTOR: f64 = 1.6;
-/// No server is late by less than this, since connections and timers vary as much.
-pub(crate) const MIN_LATE: Duration = Duration::from_millis(6);
 /// What a relay may take beyond the servers that it asks: two ways between failure domains and its
 /// own processing.
 const RELAY_GRACE: Duration = Duration::from_millis(8);
@@ -130,10 +120,7 @@
         }
     }
     if !running.is_empty() {
-        tokio::spawn(async move {
-            let all = async { while running.next().await.is_some() {} };
-            let _ = tokio::time::timeout(LINGER, all).await;
-        });
+        tokio::spawn(linger(running));
     }
     scatter.finish(needed)
 }
@@ -413,18 +400,8 @@
         if let Some(first) = self.firsts[shard].as_mut().filter(|first| first.server == *server) {
             first.took = Some(took.unwrap_or_else(|| now.saturating_sub(first.sent_at)));
         }
-        if self.job.pace.get().is_some() {
-            return;
-        }
-        let mut times: SmallVec<[Duration; 128]> =
-            self.firsts.iter().flatten().filter_map(|first| first.took).collect();
-        if (times.len() as f64) < self.shards.len() as f64 * PACE_SHARE {
-            return;
-        }
-        times.sort_unstable();
-        // Of the half that is in, the slowest third is nearest to the median of all.
-        let pace = times[times.len() * 5 / 6];
-        self.job.pace.set(pace);
+        let times = self.firsts.iter().flatten().filter_map(|first| first.took);
+        let Some(pace) = self.job.pace.show(times, self.shards.len()) else { return };
         let mut beliefs = self.tier.beliefs();
         beliefs.on_request(&self.job.route.id, pace, self.job.route.latency_target);
         for (run, first) in self.runs.iter_mut().zip(&self.firsts) {
