--- a/src/measure/report.rs
+++ b/src/measure/report.rs
@@ -63,6 +63,8 @@
         pub services: BTreeMap<ServiceId, ServiceFigures>,
         /// Requests that ran at servers beyond one for each shard answered, in thousandths.
         pub extra_load_permille: i64,
+        /// Runs beyond the first of one shard of one request, in thousandths of the shards answered.
+        pub repeats_permille: u64,
         /// Requests that servers refused for load.
         pub sheds: u64,
         /// Connections beyond a server's limit.
@@ -103,6 +105,7 @@
             by_service.entry(sending.service.clone()).or_default().push(sending);
         }
         let answered: u64 = log.sendings.iter().map(shards_answered).sum();
+        let repeats = (totals.repeats * PERMILLE).checked_div(answered).unwrap_or(0);
         let extra = (totals.runs * PERMILLE).checked_div(answered).unwrap_or(0).cast_signed();
         Self {
             deployment: subject.deployment,
@@ -112,6 +115,7 @@
             seconds: subject.time.as_secs(),
             services: by_service.iter().map(|(id, list)| (id.clone(), figures(list))).collect(),
             extra_load_permille: extra - PERMILLE.cast_signed(),
+            repeats_permille: repeats,
             sheds: totals.sheds,
             connection_overloads: totals.connection_overloads,
             slowest_in_force_ms: millis(slowest_in_force),
@@ -208,9 +212,11 @@
         }
         writeln!(
             f,
-            "extra load {}.{}%, sheds {}, connections over limit {}, configuration in force after {} ms",
+            "extra load {}.{}% (repeats {}.{}%), sheds {}, connections over limit {}, configuration in force after {} ms",
             self.extra_load_permille / 10,
             (self.extra_load_permille % 10).abs(),
+            self.repeats_permille / 10,
+            self.repeats_permille % 10,
             self.sheds,
             self.connection_overloads,
             self.slowest_in_force_ms
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -70,6 +70,7 @@
         let after = fleet.journal.totals();
         let mut totals = after;
         totals.runs -= before.runs;
+        totals.repeats -= before.repeats;
         totals.sheds -= before.sheds;
         let names: Vec<&str> = self.scenarios.iter().map(|(name, _)| name.as_str()).collect();
         let subject = Subject {
--- a/src/process/owner.rs
+++ b/src/process/owner.rs
@@ -143,7 +143,7 @@
         let allowance = permit.as_ref().map_or(0, |permit| permit.allowance);
         ShardResult {
             outcome,
-            expected: state.queue.expected(allowance),
+            expected: state.queue.expected(self.context.clock.now(), allowance),
             warm: permit.is_ok_and(|permit| permit.warm),
         }
     }
@@ -260,7 +260,7 @@
             None => {
                 let mut state = server.lock();
                 state.temperature.forget();
-                state.queue.finish(None);
+                state.queue.finish(self.context.clock.now(), None);
                 drop(state);
                 let _ = job.done.send(Outcome::NotRun(NotRunReason::Unreachable));
             }
@@ -378,7 +378,7 @@
         }
         match refused {
             Some(reason) => {
-                state.queue.finish(None);
+                state.queue.finish(self.context.clock.now(), None);
                 let _ = job.done.send(Outcome::NotRun(reason));
             }
             None => state.queue.restore(ticket, job),
@@ -423,11 +423,20 @@
         outcome: &Outcome<Vec<Row>>,
         took: Duration,
     ) {
+        if !matches!(outcome, Outcome::Answered(_)) {
+            tracing::debug!(
+                request = %job.request.request_id, shard = job.request.shard, server = %server.id,
+                attempt = job.request.attempt, deadline_ms = job.request.deadline_ms,
+                took_us = micros(took), cancelled = job.cancel.is_cancelled(),
+                not_run = outcome.is_not_run(), "attempt without an answer"
+            );
+        }
         let mut state = server.lock();
         state.on_wire.retain(|on_wire| on_wire.attempt != job.request.attempt);
         let ran = matches!(outcome, Outcome::Answered(_));
         let late = *outcome == Outcome::Unknown(UnknownReason::TimedOut);
-        state.queue.finish(ran.then_some(took));
+        let at_least = (ran || late).then_some(took);
+        state.queue.finish(self.context.clock.now(), at_least);
         match outcome {
             Outcome::NotRun(NotRunReason::Shed) => state.temperature.on_shed(),
             Outcome::NotRun(NotRunReason::Draining) => {
--- a/src/process/server_queue.rs
+++ b/src/process/server_queue.rs
@@ -15,6 +15,11 @@
 /// The weight of the newest sample in the moving average of the service time, as a divisor.
 const AVERAGE_DIVISOR: u32 = 8;
 
+/// How long after the last end of an attempt a server that is believed to be too slow gets one
+/// attempt all the same, since only a reply can show that it no longer is: at four a second, these
+/// stay under a hundredth of what a server serves.
+const PROBE_AFTER: Duration = Duration::from_millis(250);
+
 type Place = (Priority, Monotonic, u64);
 
 /// Identifies an entry until it is popped.
@@ -38,6 +43,7 @@
     in_flight: u32,
     typical: Duration,
     service_time: Duration,
+    ended_at: Monotonic,
     admission: Admission,
 }
 
@@ -50,6 +56,7 @@
             in_flight: 0,
             typical,
             service_time: typical,
+            ended_at: Monotonic::ZERO,
             admission,
         }
     }
@@ -78,7 +85,7 @@
         if deadline <= now {
             return Err(NotRunReason::DeadlineTooClose);
         }
-        if self.admission == Admission::Early && now + self.wait(place, allowance) > deadline {
+        if self.admission == Admission::Early && now + self.wait(now, place, allowance) > deadline {
             return Err(NotRunReason::DeadlineTooClose);
         }
         self.next_seq += 1;
@@ -112,10 +119,12 @@
         std::mem::take(&mut self.entries).into_values().collect()
     }
 
-    /// Takes in that a popped entry ended, and how long it took where that is known.
-    pub fn finish(&mut self, took: Option<Duration>) {
+    /// Takes in that a popped entry ended, and how long it took at the server, or took at least,
+    /// where that is known.
+    pub fn finish(&mut self, now: Monotonic, took: Option<Duration>) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(took) = took {
+            self.ended_at = now;
             let kept = self.service_time * (AVERAGE_DIVISOR - 1);
             self.service_time = (kept + took) / AVERAGE_DIVISOR;
         }
@@ -132,21 +141,25 @@
     }
 
     /// Returns the expected time from now to the end of one more request of the last class.
-    pub fn expected(&self, allowance: u32) -> Duration {
-        self.wait((Priority::Low, Monotonic::MAX, u64::MAX), allowance)
+    pub fn expected(&self, now: Monotonic, allowance: u32) -> Duration {
+        self.wait(now, (Priority::Low, Monotonic::MAX, u64::MAX), allowance)
     }
 
     /// Tells whether popped work can still be expected to end in time.
     ///
-    /// The only request at a server is sent in any case, for only a reply can show that a server
-    /// is no longer slow.
+    /// The only request at a server from which nothing came for a while is sent in any case.
     pub fn fits(&self, now: Monotonic, deadline: Monotonic) -> bool {
-        let alone = self.in_flight <= 1;
-        alone || self.admission == Admission::Always || now + self.service_time <= deadline
+        let probes = self.in_flight <= 1 && self.may_probe(now);
+        probes || self.admission == Admission::Always || now + self.service_time <= deadline
+    }
+
+    /// Tells whether the last end of an attempt is too long ago to refuse work for it.
+    fn may_probe(&self, now: Monotonic) -> bool {
+        now >= self.ended_at + PROBE_AFTER
     }
 
-    fn wait(&self, place: Place, allowance: u32) -> Duration {
-        if self.in_flight == 0 && self.entries.is_empty() {
+    fn wait(&self, now: Monotonic, place: Place, allowance: u32) -> Duration {
+        if self.in_flight == 0 && self.entries.is_empty() && self.may_probe(now) {
             return self.service_time.min(self.typical);
         }
         let ahead = self.entries.range(..place).count() + self.in_flight as usize;
--- a/src/process/server_queue/tests.rs
+++ b/src/process/server_queue/tests.rs
@@ -68,9 +68,9 @@
     }
     assert_eq!(std::iter::from_fn(|| queue.pop(2)).count(), 2);
     assert!(queue.pop(1).is_none(), "a lowered allowance holds at once");
-    queue.finish(Some(MS(10)));
+    queue.finish(MS(0), Some(MS(10)));
     assert!(queue.pop(1).is_none());
-    queue.finish(Some(MS(10)));
+    queue.finish(MS(0), Some(MS(10)));
     assert!(queue.pop(1).is_some());
 }
 
@@ -93,11 +93,35 @@
     let slow = queue.push(MS(0), Priority::Normal, MS(400), 2, "slow");
     assert!(slow.is_ok() && queue.pop(2).is_some());
     for _ in 0..50 {
-        queue.finish(Some(MS(900)));
+        queue.finish(MS(0), Some(MS(900)));
     }
     queue.push(MS(1_000), Priority::Normal, MS(1_400), 2, "probe").expect("an idle one is tried");
     let refused = queue.push(MS(1_000), Priority::Normal, MS(1_400), 2, "second");
     assert_eq!(refused, Err(NotRunReason::DeadlineTooClose));
     assert!(queue.pop(2).is_some() && queue.fits(MS(1_000), MS(1_400)));
-    queue.finish(Some(MS(8)));
+    queue.finish(MS(0), Some(MS(8)));
+}
+
+#[test]
+fn a_server_that_is_too_slow_gets_one_attempt_after_a_while_only() {
+    struct Case {
+        name: &'static str,
+        ended_ms: u64,
+        fits: bool,
+    }
+    let cases = [
+        Case { name: "just seen to be slow", ended_ms: 990, fits: false },
+        Case { name: "some time ago", ended_ms: 700, fits: true },
+    ];
+    for case in cases {
+        let mut queue = queue(Admission::Early);
+        queue.push(MS(0), Priority::Normal, MS(400), 2, "slow").expect("it is usual so far");
+        queue.pop(2).expect("it waits");
+        for _ in 0..50 {
+            queue.finish(MS(case.ended_ms), Some(MS(900)));
+        }
+        let pushed = queue.push(MS(1_000), Priority::Normal, MS(1_400), 2, "next");
+        assert_eq!(pushed.is_ok(), case.fits, "{}", case.name);
+        assert_eq!(queue.fits(MS(1_000), MS(1_400)), case.fits, "{}", case.name);
+    }
 }
--- a/src/request/choose.rs
+++ b/src/request/choose.rs
@@ -5,6 +5,10 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+/// Where more than this share of a query's shards is late, in permille, servers are slow on the whole
+/// and further attempts only add to their work; twice the share of stragglers in measurements.
+const MOST_LATE_PERMILLE: usize = 250;
+
 /// What is known of a replica at the moment of choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -47,5 +51,10 @@
     (0..candidates.len()).filter(fit).min_by_key(|n| candidates[*n].expected)
 }
 
+/// Tells whether late shards of a query are few enough that other replicas are likely to be faster.
+pub fn hedging_helps(late: usize, shards: usize) -> bool {
+    late <= (shards * MOST_LATE_PERMILLE / 1_000).max(1)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/request/choose/tests.rs
+++ b/src/request/choose/tests.rs
@@ -55,3 +55,22 @@
         assert_eq!(choose_hedge(case.candidates), case.hedge, "{}", case.name);
     }
 }
+
+#[test]
+fn hedging_stops_where_servers_are_slow_on_the_whole() {
+    struct Case {
+        name: &'static str,
+        late: usize,
+        shards: usize,
+        helps: bool,
+    }
+    let cases = [
+        Case { name: "the only shard", late: 1, shards: 1, helps: true },
+        Case { name: "stragglers", late: 5, shards: 20, helps: true },
+        Case { name: "more than stragglers", late: 6, shards: 20, helps: false },
+        Case { name: "all", late: 20, shards: 20, helps: false },
+    ];
+    for case in cases {
+        assert_eq!(hedging_helps(case.late, case.shards), case.helps, "{}", case.name);
+    }
+}
--- a/src/request/pace/tests.rs
+++ b/src/request/pace/tests.rs
@@ -61,10 +61,9 @@
         Case { name: "fast", pace: ms(100), slowness: Some(0.5), late_after: ms(125) },
     ];
     for case in cases {
-        let after = case.slowness.map_or_else(
-            || late_after(case.pace),
-            |slowness| late_after_at(case.pace, slowness),
-        );
+        let after = case
+            .slowness
+            .map_or_else(|| late_after(case.pace), |slowness| late_after_at(case.pace, slowness));
         assert_eq!(after, case.late_after, "{}", case.name);
     }
 }
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::batch_call::{BatchCall, Event};
-use super::choose::{Candidate, Choice, choose, choose_hedge};
+use super::choose::{Candidate, Choice, choose, choose_hedge, hedging_helps};
 use super::coordinator::Coordinator;
 use super::gather::Gather;
 use super::query::{Answer, Query};
@@ -233,7 +233,11 @@
             return;
         }
         let now = self.now();
-        for shard in self.gather.first_attempts() {
+        let late = self.gather.first_attempts();
+        if !hedging_helps(late.len(), self.shards.len()) {
+            return;
+        }
+        for shard in late {
             let candidates = self.candidates(shard);
             let Some(n) = choose_hedge(&candidates) else {
                 continue;
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -257,7 +257,7 @@
         let submit = !request.kind.is_idempotent();
         let work = async {
             let _slot = self.slots.acquire().await.expect("the semaphore is never closed");
-            self.journal.on_run(&request.request_id, submit);
+            self.journal.on_run(&request.request_id, request.shard, submit);
             tokio::time::sleep(self.service_time()).await;
             self.lock().done += 1;
         };
--- a/src/standin/journal.rs
+++ b/src/standin/journal.rs
@@ -1,12 +1,12 @@
 //! What the stand-ins saw, by which a run is judged.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::ids::{RequestId, ServerId};
+use crate::ids::{RequestId, ServerId, ShardId};
 
 /// How long after operators take something out work may still arrive.
 pub const OUT_GRACE: Duration = Duration::from_secs(3);
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     runs: u64,
+    repeats: u64,
+    ran: HashSet<(RequestId, ShardId)>,
     sheds: u64,
     cold_overloads: u64,
     connection_overloads: u64,
@@ -33,6 +35,8 @@
 pub struct Totals {
     /// Requests that ran, whole or in part.
     pub runs: u64,
+    /// Runs beyond the first of one shard of one request.
+    pub repeats: u64,
     /// Requests refused because the server had too much.
     pub sheds: u64,
     /// Requests that arrived at a cold server beyond its limit.
@@ -45,9 +49,12 @@
 
 impl Journal {
     /// Notes that a request runs; a non-idempotent one has its effect now.
-    pub fn on_run(&self, request: &RequestId, submit: bool) {
+    pub fn on_run(&self, request: &RequestId, shard: ShardId, submit: bool) {
         let mut inner = self.lock();
         inner.runs += 1;
+        if !inner.ran.insert((request.clone(), shard)) {
+            inner.repeats += 1;
+        }
         if submit {
             *inner.submits.entry(request.clone()).or_default() += 1;
         }
@@ -102,6 +109,7 @@
         let inner = self.lock();
         Totals {
             runs: inner.runs,
+            repeats: inner.repeats,
             sheds: inner.sheds,
             cold_overloads: inner.cold_overloads,
             connection_overloads: inner.connection_overloads,
--- a/src/stateful/world/owners.rs
+++ b/src/stateful/world/owners.rs
@@ -86,14 +86,14 @@
         let room = permit.as_ref().is_ok_and(|p| owned.sent.len() < p.allowance as usize);
         let Some(life) = connected.filter(|_| room && now < job.deadline) else {
             if now < job.deadline && room {
-                owned.queue.finish(None);
+                owned.queue.finish(now, None);
                 let (attempt, server) = (job.request.attempt, server.clone());
                 let outcome = Outcome::NotRun(NotRunReason::Unreachable);
                 self.send(me, &job.from, Message::Report { attempt, server, outcome });
             } else if now < job.deadline {
                 owned.queue.restore(ticket, job);
             } else {
-                owned.queue.finish(None);
+                owned.queue.finish(now, None);
             }
             return false;
         };
@@ -139,10 +139,11 @@
         } else {
             None
         };
+        let now = self.local(me);
         let limits = self.nodes[me].operational.server(server).map(|e| e.limits.clone());
         let owned = self.owned(me, server);
         let Some(job) = owned.sent.remove(&request.attempt) else { return };
-        owned.queue.finish(took);
+        owned.queue.finish(now, took);
         let outcome = match reply {
             Outcome::Answered(bytes) => {
                 if let (Some(took), Some(limits)) = (took, limits) {
--- a/src/stateful/world/requests.rs
+++ b/src/stateful/world/requests.rs
@@ -278,7 +278,7 @@
                 .collect();
             for attempt in gone {
                 owned.sent.remove(&attempt);
-                owned.queue.finish(None);
+                owned.queue.finish(now, None);
             }
         }
     }
