Split process/ by job; cut the circle of coordinator and run; no arrows up to request/

What queries learn from each other (latencies, budgets, hints) is Experience, which coordinator and run both use.

--- a/src/bin/quetzal/commands.rs
+++ b/src/bin/quetzal/commands.rs
@@ -8,11 +8,11 @@
 
 use miette::Report as Failure;
 use quetzalpoint::connection::caller::{Caller, first_answer};
+use quetzalpoint::connection::query::QueryBody;
 use quetzalpoint::measure::demo::demo;
 use quetzalpoint::measure::fleet::Deployment;
 use quetzalpoint::measure::run::Measurement;
 use quetzalpoint::measure::{capacity, gossip_trial, scenario};
-use quetzalpoint::request::query::QueryBody;
 use quetzalpoint::version::check::check;
 use quetzalpoint::version::config::Config;
 use quetzalpoint::version::diff::diff;
--- a/src/connection/backend.rs
+++ b/src/connection/backend.rs
@@ -12,11 +12,11 @@
 use super::fence::{Fence, FencedStream};
 use super::http_client::{Body, connect_over, get_request, json_request, read_body};
 use crate::clock::{Clock, Monotonic};
+use crate::connection::query::Row;
 use crate::derive::{data, key};
 use crate::flaw::flawed;
 use crate::ids::{AttemptId, IndexVersion, InstanceId, RequestId, ServiceId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::request::query::Row;
 use crate::version::config::Kind;
 
 /// How long a new connection may take.
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -10,9 +10,9 @@
 use tokio::time::Instant;
 
 use super::http_client::{Body, call, connect_over, get_request, json_request, read_body};
+use crate::connection::caller_form::{EntryHosts, Fault, Reply, Status};
+use crate::connection::query::QueryBody;
 use crate::error::{Error, Result};
-use crate::request::http::{EntryHosts, Fault, Reply, Status};
-use crate::request::query::QueryBody;
 
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod backend;
 pub mod caller;
+pub mod caller_form;
+pub mod coverage;
 pub mod exchange;
 pub(crate) mod fence;
 pub(crate) mod http_client;
@@ -11,5 +13,6 @@
 pub mod peer_links;
 pub(crate) mod peer_pool;
 pub mod platform;
+pub mod query;
 pub mod server_pool;
 pub mod source;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -9,12 +9,12 @@
 use tarpc::tokio_serde::{Deserializer, Serializer};
 use tarpc::tokio_util::bytes::{Bytes, BytesMut};
 
+use crate::connection::query::{Answer, Query, Row};
 use crate::derive::{data, key};
 use crate::ids::{AttemptId, ConfigVersion, HostId, IndexVersion, ServerId, ShardId};
 use crate::outcome::Outcome;
-use crate::process::gossip::Push;
-use crate::process::lease::{Claim, ClaimReply, Release};
-use crate::request::query::{Answer, Query, Row};
+use crate::process::membership::gossip::Push;
+use crate::process::membership::lease::{Claim, ClaimReply, Release};
 use crate::version::config::{Config, Kind};
 
 /// The version of this protocol; hosts of another one refuse each other.
--- a/src/process/host.rs
+++ b/src/host.rs
@@ -11,15 +11,6 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::batches::Batches;
-use super::config_watch::{ConfigActor, bootstrap, fetch_from_peers, watch_hosts, watch_versions};
-use super::context::Context;
-use super::hints::Hints;
-use super::membership::LeaseView;
-use super::membership_actor::{Leave, MembershipActor, TICK, Tick};
-use super::metrics::Metrics;
-use super::owner::Owner;
-use super::pause::PauseGuard;
 use super::peer_server::{PeerParts, serve_peers};
 use crate::clock::{Clock, Monotonic};
 use crate::connection::links::Links;
@@ -28,9 +19,20 @@
 use crate::error::{Error, Result};
 use crate::ids::{ConfigVersion, DomainId, HostId, Incarnation};
 use crate::policy::Policy;
+use crate::process::configuration::config_watch::{
+    ConfigActor, bootstrap, fetch_from_peers, watch_hosts, watch_versions,
+};
+use crate::process::context::Context;
+use crate::process::keeper::Keeper;
+use crate::process::membership::membership_actor::{Leave, MembershipActor, TICK, Tick};
+use crate::process::membership::pause::PauseGuard;
+use crate::process::membership::seats::LeaseView;
+use crate::process::metrics::Metrics;
+use crate::process::servers::batches::Batches;
+use crate::process::servers::hints::Hints;
+use crate::process::servers::owner::Owner;
 use crate::request::coordinator::Coordinator;
 use crate::request::http::{CallerServer, serve_callers};
-use crate::request::keeper::Keeper;
 use crate::version::operational::Operational;
 
 /// How often a leaving host looks whether it may stop.
--- a/src/measure/caller_log.rs
+++ b/src/measure/caller_log.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::connection::caller::NoReply;
+use crate::connection::caller_form::Reply;
 use crate::ids::{RequestId, ServiceId};
-use crate::request::http::Reply;
 use crate::version::config::Kind;
 
 /// One sending of a request and what came of it.
--- a/src/measure/capacity.rs
+++ b/src/measure/capacity.rs
@@ -10,9 +10,9 @@
 
 use crate::clock::Monotonic;
 use crate::ids::HostId;
-use crate::process::gossip::RandomizedTokens;
-use crate::process::membership::{Action, Membership};
-use crate::process::membership_actor::{GOSSIP, TICK};
+use crate::process::membership::gossip::RandomizedTokens;
+use crate::process::membership::membership_actor::{GOSSIP, TICK};
+use crate::process::membership::seats::{Action, Membership};
 use crate::version::config::Config;
 use crate::version::operational::Operational;
 use crate::version::questionnaire::Questionnaire;
--- a/src/measure/demo.rs
+++ b/src/measure/demo.rs
@@ -9,10 +9,10 @@
 use super::fleet::{Deployment, Fleet};
 use super::load::Load;
 use crate::connection::caller::{Caller, NoReply};
+use crate::connection::caller_form::Reply;
+use crate::connection::query::QueryBody;
 use crate::error::Result;
 use crate::policy::Policy;
-use crate::request::http::Reply;
-use crate::request::query::QueryBody;
 use crate::version::operations::{Target, set_out};
 
 const SEED: u64 = 1;
--- a/src/measure/gossip_trial.rs
+++ b/src/measure/gossip_trial.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::clock::Monotonic;
-use crate::process::gossip::{
+use crate::process::membership::gossip::{
     Gossip, Periodic, Push, RandomizedTokens, SendStrategy, SimpleTokens,
 };
 
--- a/src/measure/host_thread.rs
+++ b/src/measure/host_thread.rs
@@ -9,8 +9,8 @@
 
 use crate::connection::links::Links;
 use crate::error::Result;
+use crate::host::{Host, Settings};
 use crate::policy::Policy;
-use crate::process::host::{Host, Settings};
 
 /// A host whose thread is its process.
 #[derive(Debug)]
--- a/src/measure/judge.rs
+++ b/src/measure/judge.rs
@@ -5,11 +5,11 @@
 use super::caller_log::{CallerLog, Sending};
 use super::fleet::Fleet;
 use crate::connection::caller::NoReply;
+use crate::connection::caller_form::Reply;
+use crate::connection::coverage::Coverage;
+use crate::connection::query::{Row, merge_rows};
 use crate::derive::data;
 use crate::ids::{IndexVersion, ShardId};
-use crate::request::coverage::Coverage;
-use crate::request::http::Reply;
-use crate::request::query::{Row, merge_rows};
 use crate::standin::data::{shard_rows, version_of};
 use crate::version::config::Kind;
 
--- a/src/measure/load.rs
+++ b/src/measure/load.rs
@@ -12,9 +12,9 @@
 use super::caller_log::{CallerLog, Sending};
 use super::fleet::Fleet;
 use crate::connection::caller::{Caller, NoReply};
+use crate::connection::caller_form::Reply;
+use crate::connection::query::QueryBody;
 use crate::ids::{RequestId, ServiceId};
-use crate::request::http::Reply;
-use crate::request::query::QueryBody;
 use crate::version::config::Kind;
 
 /// The one-way delay between a caller and an entry host.
--- a/src/process/peer_server.rs
+++ b/src/peer_server.rs
@@ -12,20 +12,20 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::batches::Batches;
-use super::context::Context;
-use super::gossip::Push;
-use super::lease::{Claim, ClaimReply, Release};
-use super::membership_actor::MembershipActor;
 use crate::clock::micros;
 use crate::connection::peer::{
     Batch, BatchId, ClaimAnswer, Hello, HelloRefusal, HelloReply, MAX_FRAME_BYTES, Order,
     PROTOCOL_VERSION, Part, Peer, Postcard, ShardReport,
 };
+use crate::connection::query::Answer;
 use crate::ids::{ConfigVersion, ShardId};
 use crate::outcome::{NotRunReason, Outcome};
-use crate::request::keeper::Keeper;
-use crate::request::query::Answer;
+use crate::process::context::Context;
+use crate::process::keeper::Keeper;
+use crate::process::membership::gossip::Push;
+use crate::process::membership::lease::{Claim, ClaimReply, Release};
+use crate::process::membership::membership_actor::MembershipActor;
+use crate::process::servers::batches::Batches;
 use crate::version::config::Config;
 
 /// How much longer than its batch's deadline a collection waits.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,6 @@
 //! Which parts of the policy are in force; measurements switch them off one at a time.
 
-use crate::process::server_queue::Admission;
+use crate::process::servers::server_queue::Admission;
 
 /// The policy of a host. A daemon runs all of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/process/config_store/tests.rs
+++ b/src/process/configuration/config_store/tests.rs
@@ -4,7 +4,7 @@
 use crate::version::questionnaire::Questionnaire;
 
 fn config(version: u64) -> Config {
-    let text = include_str!("../../../examples/answers/tarlac.toml");
+    let text = include_str!("../../../../examples/answers/tarlac.toml");
     Questionnaire::from_toml(text).unwrap().generate(version).unwrap()
 }
 
--- a/src/process/config_watch.rs
+++ b/src/process/configuration/config_watch.rs
@@ -12,13 +12,13 @@
 use tokio::time::Instant;
 
 use super::config_store::ConfigStore;
-use super::context::Context;
-use super::membership_actor::{Adopted, MembershipActor};
 use crate::connection::peer::PeerClient;
 use crate::connection::peer_pool::dial;
 use crate::connection::platform::{Platform, WATCH_WAIT};
 use crate::error::Result;
 use crate::ids::{HostId, ServerId};
+use crate::process::context::Context;
+use crate::process::membership::membership_actor::{Adopted, MembershipActor};
 use crate::version::config::Config;
 
 /// How long to wait after a failed call to the platform.
--- a/src/process/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::fleet::members::Heartbeat;
-use super::servers::registry::Registry;
 use super::sharing;
-use super::tier::Tier;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::source::{Freshness, Reading, Source, SourceError};
+use crate::process::membership::members::Heartbeat;
+use crate::process::servers::registry::Registry;
+use crate::process::tier::Tier;
 
 /// How long one call waits for changes. A connection that went silent is noticed when this has
 /// passed, so it is a part of the time in which a leaving server must get no more work.
--- a/src/process/sharing.rs
+++ b/src/process/configuration/sharing.rs
@@ -8,11 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::fleet::members::{Heartbeat, Phase};
-use super::tier::Tier;
 use crate::clock::millis;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::peer_frame::{Facts, Frame, Known};
+use crate::process::membership::members::{Heartbeat, Phase};
+use crate::process::tier::Tier;
 use crate::version::plan::{Plan, PlanDocument};
 
 /// How often a host looks whether another knows more.
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -7,16 +7,16 @@
 use arc_swap::ArcSwap;
 use tokio_util::sync::CancellationToken;
 
-use super::gate::Standing;
-use super::membership::LeaseView;
 use super::metrics::Metrics;
-use super::pause::PauseGuard;
-use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::links::Links;
 use crate::connection::peer_pool::{PeerAddress, PeerPool};
 use crate::ids::{DomainId, HostId, Incarnation};
 use crate::policy::Policy;
+use crate::process::membership::pause::PauseGuard;
+use crate::process::membership::seats::LeaseView;
+use crate::process::membership::suspicion::Suspicion;
+use crate::process::servers::gate::Standing;
 use crate::version::operational::Operational;
 
 /// How much longer than its deadline a call between hosts is awaited.
--- a/src/request/keeper.rs
+++ b/src/process/keeper.rs
@@ -7,18 +7,18 @@
 
 use rand::RngExt;
 
-use super::coverage::Coverage;
-use super::query::{Answer, Query};
 use crate::clock::{Monotonic, micros, millis};
+use crate::connection::coverage::Coverage;
 use crate::connection::peer::{Batch, BatchItem, Part, PeerClient};
 use crate::connection::peer_pool::CallError;
+use crate::connection::query::{Answer, Query};
 use crate::ids::{HostId, ServerId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::process::batches::Batches;
 use crate::process::context::Context;
-use crate::process::gate::Tenure;
-use crate::process::hints::Hints;
 use crate::process::record::{Begin, Record};
+use crate::process::servers::batches::Batches;
+use crate::process::servers::gate::Tenure;
+use crate::process::servers::hints::Hints;
 use crate::version::config::{Kind, Server, Service};
 
 /// The most requests remembered.
--- a/src/process/fleet/directory/tests.rs
+++ b/src/process/membership/directory/tests.rs
@@ -1,7 +1,7 @@
 use std::net::Ipv4Addr;
 
 use super::{Place, choose};
-use crate::process::fleet::members::{FleetView, Heartbeat, Phase};
+use crate::process::membership::members::{FleetView, Heartbeat, Phase};
 
 fn host(n: u8, domain: u8, phase: Phase) -> Heartbeat {
     Heartbeat {
--- a/src/process/membership_actor.rs
+++ b/src/process/membership/membership_actor.rs
@@ -12,14 +12,14 @@
 use rand::rngs::SmallRng;
 use tokio::sync::mpsc;
 
-use super::context::Context;
 use super::gossip::{Push, RandomizedTokens};
 use super::lease::{Claim, ClaimReply, Release};
-use super::membership::{Action, LeaseView, Membership};
-use super::owner::Owner;
 use crate::clock::Monotonic;
 use crate::connection::peer::{ClaimAnswer, PeerClient};
 use crate::ids::HostId;
+use crate::process::context::Context;
+use crate::process::membership::seats::{Action, LeaseView, Membership};
+use crate::process::servers::owner::Owner;
 use crate::version::operational::Operational;
 
 /// How often the state machine looks at the clock.
--- a/src/process/membership.rs
+++ b/src/process/membership/seats.rs
@@ -12,9 +12,9 @@
 
 use super::gossip::{Gossip, HeldSeat, Push, Received, SendStrategy};
 use super::lease::{Claim, ClaimReply, Release, SeatLease, Witness};
-use super::permission::Role;
 use crate::clock::Monotonic;
 use crate::ids::{HostId, Incarnation};
+use crate::process::servers::permission::Role;
 use crate::version::operational::Operational;
 
 /// How long a change of witnesses takes to be known everywhere.
--- a/src/process/membership/tests.rs
+++ b/src/process/membership/seats/tests.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 
 use super::*;
-use crate::process::gossip::Periodic;
+use crate::process::membership::gossip::Periodic;
 use crate::version::questionnaire::Questionnaire;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -21,7 +21,7 @@
 
 impl Fleet {
     fn new() -> Self {
-        let text = include_str!("../../../examples/answers/tarlac.toml");
+        let text = include_str!("../../../../examples/answers/tarlac.toml");
         let config = Questionnaire::from_toml(text).unwrap().generate(1).unwrap();
         let operational = Arc::new(Operational::new(Arc::new(config), &HashSet::new()));
         let mut fleet = Self {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,30 +1,13 @@
-//! What lives as long as the process: membership, leases, servers, budgets and records.
+//! What lives as long as the process, by job: the fleet of hosts, backend servers, configuration and
+//! budgets, and the state in which they meet.
 
-pub(crate) mod batches;
-pub mod budget;
-pub mod config_store;
-pub(crate) mod config_watch;
+pub mod budgets;
+pub mod configuration;
 pub(crate) mod context;
-pub mod fleet;
-pub mod gate;
-pub mod gossip;
-pub mod hints;
-pub mod host;
-pub mod latency;
-pub mod lease;
+pub(crate) mod keeper;
 pub mod leave;
 pub mod membership;
-pub(crate) mod membership_actor;
 pub(crate) mod metrics;
-pub(crate) mod owner;
-pub mod pause;
-pub(crate) mod peer_server;
-pub mod permission;
-pub mod reader;
 pub mod record;
-pub mod server_queue;
 pub mod servers;
-pub mod sharing;
-pub mod suspicion;
-pub mod temperature;
 pub mod tier;
--- a/src/process/batches.rs
+++ b/src/process/servers/batches.rs
@@ -8,13 +8,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::context::Context;
 use super::owner::{Owner, ShardJob};
 use crate::clock::{Monotonic, micros};
 use crate::connection::backend::RunRequest;
 use crate::connection::peer::{Batch, BatchId, BatchItem, Part, ShardReport};
+use crate::connection::query::{Row, merge_rows};
 use crate::ids::ShardId;
-use crate::request::query::{Row, merge_rows};
+use crate::process::context::Context;
 use crate::version::config::Kind;
 
 /// How long a part waits for more replies once it has one.
--- a/src/process/gate.rs
+++ b/src/process/servers/gate.rs
@@ -2,12 +2,12 @@
 //!
 //! Both are pure: they see the newest operational state and leases at the moment of sending.
 
-use super::membership::LeaseView;
 use super::permission::{Role, Warmth, allowance};
 use crate::clock::Monotonic;
 use crate::flaw::flawed;
 use crate::ids::HostId;
 use crate::outcome::NotRunReason;
+use crate::process::membership::seats::LeaseView;
 use crate::version::operational::{Operational, ServerEntry};
 use crate::version::placement;
 
--- a/src/process/hints.rs
+++ b/src/process/servers/hints.rs
@@ -6,7 +6,6 @@
 use crate::clock::Monotonic;
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::request::choose::Candidate;
 
 /// An expectation fades to the usual time within this.
 const FADE: Duration = Duration::from_millis(1_000);
@@ -15,6 +14,19 @@
 /// How long a server that can't be reached is avoided.
 const AVOID_UNREACHABLE: Duration = Duration::from_millis(500);
 
+/// What is known of a replica at the moment of choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The expected time to its reply.
+    pub expected: Duration,
+    /// It is believed warm.
+    pub warm: bool,
+    /// The gate is open and it did not refuse a moment ago.
+    pub usable: bool,
+    /// The request was tried there before.
+    pub tried: bool,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Hint {
     expected: Duration,
--- a/src/process/owner.rs
+++ b/src/process/servers/owner.rs
@@ -10,16 +10,16 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use super::context::Context;
 use super::gate::{Permit, Standing};
 use super::permission::Warmth;
 use super::server_queue::{ServerQueue, Ticket};
 use super::temperature::Temperature;
 use crate::clock::{Monotonic, micros, millis};
 use crate::connection::backend::{BackendConnection, RunRequest};
+use crate::connection::query::Row;
 use crate::ids::{AttemptId, HostId, ServerId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::request::query::Row;
+use crate::process::context::Context;
 use crate::version::operational::ServerEntry;
 
 /// How long to wait for a reply beyond the deadline that the server was given.
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -10,20 +10,20 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::fleet::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
+use super::budgets::extra_budget::{ExtraBudget, ExtraLimit};
+use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
 use super::servers::belief::Beliefs;
 use super::servers::cold::{ColdLoad, is_sender};
-use super::servers::extra_budget::{ExtraBudget, ExtraLimit};
 use super::servers::registry::{Change, LiveServer, Registry, ServerRecord, ServerView};
 use super::servers::split::SplitDealer;
-use super::suspicion::Suspicion;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
 use crate::ids::{ConfigVersion, DomainId, RegionId, Revision};
+use crate::process::membership::suspicion::Suspicion;
 use crate::version::plan::{Plan, Route, Sharers};
 
 /// Servers that were not used for this long are forgotten.
--- a/src/request/batch_call.rs
+++ b/src/request/batch_call.rs
@@ -10,8 +10,8 @@
 use crate::connection::peer_pool::CallError;
 use crate::ids::HostId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::process::batches::{Batches, COLLECT_WAIT};
 use crate::process::context::Context;
+use crate::process::servers::batches::{Batches, COLLECT_WAIT};
 
 /// How much later than expected an owner may answer before work goes elsewhere.
 const LATE_ALLOWANCE: Duration = Duration::from_millis(50);
--- a/src/request/choose.rs
+++ b/src/request/choose.rs
@@ -1,27 +1,14 @@
 //! Chooses the replica for an attempt.
 
-use std::time::Duration;
-
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use crate::process::servers::hints::Candidate;
+
 /// Where more than this share of a query's shards is late, in permille, servers are slow on the whole
 /// and further attempts only add to their work; twice the share of stragglers in measurements.
 const MOST_LATE_PERMILLE: usize = 250;
 
-/// What is known of a replica at the moment of choice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Candidate {
-    /// The expected time to its reply.
-    pub expected: Duration,
-    /// It is believed warm.
-    pub warm: bool,
-    /// The gate is open and it did not refuse a moment ago.
-    pub usable: bool,
-    /// The request was tried there before.
-    pub tried: bool,
-}
-
 /// How to choose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
--- a/src/request/choose/tests.rs
+++ b/src/request/choose/tests.rs
@@ -3,6 +3,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use std::time::Duration;
+
 use super::*;
 
 const fn candidate(expected_ms: u64, warm: bool, usable: bool, tried: bool) -> Candidate {
--- a/src/request/coordinator.rs
+++ b/src/request/coordinator.rs
@@ -1,26 +1,21 @@
 //! Admits the requests of callers: queries run here, orders go to their keeper.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use tokio::task::JoinSet;
-
-use super::gather::Gather;
-use super::keeper::Keeper;
-use super::query::{Answer, Query};
+use super::experience::Experience;
 use super::run::Run;
 use crate::clock::Monotonic;
 use crate::connection::peer::{Order, PeerClient};
 use crate::connection::peer_pool::CallError;
-use crate::ids::{HostId, ServiceId, ShardId};
+use crate::connection::query::{Answer, Query};
+use crate::ids::{HostId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
-use crate::process::batches::Batches;
-use crate::process::budget::Budget;
 use crate::process::context::Context;
-use crate::process::hints::Hints;
-use crate::process::latency::LatencyTracker;
+use crate::process::keeper::Keeper;
+use crate::process::servers::batches::Batches;
+use crate::process::servers::hints::Hints;
 use crate::version::config::{Kind, Service, Shard};
 use crate::version::operational::Operational;
 use crate::version::placement;
@@ -28,36 +23,15 @@
 /// The part of a deadline that is left for the reply to travel, as a divisor, and its upper bound.
 const REPLY_SHARE: u32 = 10;
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(10);
-/// Extra attempts for each thousand first ones; together they stay within 5%.
-const HEDGE_PERMILLE: u64 = 30;
-const RETRY_PERMILLE: u64 = 20;
-const HEDGE_BURST: u64 = 20;
-const RETRY_BURST: u64 = 100;
-/// The quantile of shard latency after which a shard counts as late.
-const LATE_QUANTILE: f64 = 0.985;
-/// The hedge delay is between these many times the usual time.
-const MIN_HEDGE_FACTOR: u32 = 2;
-const MAX_HEDGE_FACTOR: u32 = 5;
-/// The hedge delay while there are too few samples.
-const START_HEDGE_FACTOR: u32 = 4;
 /// How long to wait before looking for a keeper again.
 const KEEPER_RETRY: Duration = Duration::from_millis(50);
 
-#[derive(Debug)]
-pub(super) struct Budgets {
-    pub(super) hedge: Budget,
-    pub(super) retry: Budget,
-}
-
 /// Runs the requests of callers at this host.
 #[derive(Debug)]
 pub(crate) struct Coordinator {
-    pub(super) context: Arc<Context>,
-    pub(super) batches: Arc<Batches>,
+    context: Arc<Context>,
     keeper: Arc<Keeper>,
-    pub(super) hints: Arc<Mutex<Hints>>,
-    latencies: Mutex<HashMap<ServiceId, LatencyTracker>>,
-    budgets: Mutex<HashMap<ServiceId, Budgets>>,
+    experience: Experience,
 }
 
 impl Coordinator {
@@ -67,8 +41,8 @@
         keeper: Arc<Keeper>,
         hints: Arc<Mutex<Hints>>,
     ) -> Arc<Self> {
-        let (latencies, budgets) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { context, batches, keeper, hints, latencies, budgets })
+        let experience = Experience::new(context.clone(), batches, hints);
+        Arc::new(Self { context, keeper, experience })
     }
 
     /// Runs a request to its outcome, at the latest shortly before its deadline.
@@ -115,48 +89,7 @@
             }
             Kind::Listing | Kind::Lookup => service.shards.iter().map(|s| (s.id, s)).collect(),
         };
-        let limit = (service.kind == Kind::Listing).then_some(query.limit as usize);
-        let (events, inbox) = mpsc::unbounded_channel();
-        let run = Run {
-            coordinator: self,
-            gather: Gather::new(service.index_version, shards.keys().copied(), limit),
-            hedge_delay: self.hedge_delay(service),
-            retries: Vec::new(),
-            calls: JoinSet::new(),
-            sent: HashMap::new(),
-            pinned,
-            service,
-            query,
-            shards,
-            deadline,
-            events,
-        };
-        run.finish(inbox).await
-    }
-
-    fn hedge_delay(&self, service: &Service) -> Duration {
-        let typical = Duration::from_millis(service.limits.typical_ms);
-        let latencies = self.latencies.lock().expect("no holder of the lock panics");
-        let tracked = latencies.get(&service.id).and_then(|t| t.quantile(LATE_QUANTILE));
-        let (least, most) = (typical * MIN_HEDGE_FACTOR, typical * MAX_HEDGE_FACTOR);
-        tracked.map_or(typical * START_HEDGE_FACTOR, |late| late.clamp(least, most))
-    }
-
-    pub(super) fn record_latency(&self, service: &ServiceId, took: Duration) {
-        let mut latencies = self.latencies.lock().expect("no holder of the lock panics");
-        latencies.entry(service.clone()).or_default().record(took);
-    }
-
-    pub(super) fn with_budgets<T>(
-        &self,
-        service: &ServiceId,
-        f: impl FnOnce(&mut Budgets) -> T,
-    ) -> T {
-        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        f(budgets.entry(service.clone()).or_insert_with(|| Budgets {
-            hedge: Budget::new(HEDGE_PERMILLE, HEDGE_BURST),
-            retry: Budget::new(RETRY_PERMILLE, RETRY_BURST),
-        }))
+        Run::new(&self.experience, pinned, service, query, shards, deadline).finish().await
     }
 
     /// Sends a non-idempotent request to its keeper; nothing is repeated once it may have run.
--- a/src/request/gather.rs
+++ b/src/request/gather.rs
@@ -5,9 +5,9 @@
 use smallvec::SmallVec;
 use smol_str::{SmolStr, ToSmolStr};
 
-use super::coverage::Coverage;
-use super::query::{Answer, Row, merge_rows};
+use crate::connection::coverage::Coverage;
 use crate::connection::peer::Part;
+use crate::connection::query::{Answer, Row, merge_rows};
 use crate::flaw::flawed;
 use crate::ids::{IndexVersion, ServerId, ShardId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
--- a/src/request/http.rs
+++ b/src/request/http.rs
@@ -22,14 +22,13 @@
 use tokio::sync::Semaphore;
 
 use super::coordinator::Coordinator;
-use super::coverage::Coverage;
-use super::query::{Answer, Query, QueryBody, Row};
 use crate::clock::millis;
-use crate::derive::data;
-use crate::ids::{HostId, IndexVersion, RequestId};
+use crate::connection::caller_form::{EntryHost, EntryHosts, Fault, Reply, Status};
+use crate::connection::query::{Answer, Query, QueryBody};
+use crate::ids::{HostId, RequestId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::context::Context;
-use crate::process::membership::LeaseView;
+use crate::process::membership::seats::LeaseView;
 use crate::version::config::{Config, Kind, stable_hash};
 
 /// The largest request body, in bytes.
@@ -55,79 +54,6 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 const ADDRESS_SEED: u64 = 0x6164_6472_6573_0001;
 
-data! {
-    /// The reply to a query.
-    pub struct Reply {
-        /// The caller's id, or the one made for it.
-        pub request_id: RequestId,
-        /// `answered`, `not_run` or `unknown`.
-        pub outcome: SmolStr,
-        /// Why the request was not answered.
-        #[serde(skip_serializing_if = "Option::is_none", default)]
-        pub reason: Option<SmolStr>,
-        /// Sending the request again can't make it run twice.
-        pub safe_to_resend: bool,
-        /// When to come back.
-        #[serde(skip_serializing_if = "Option::is_none", default)]
-        pub retry_after_ms: Option<u64>,
-        /// The index version that every row comes from.
-        #[serde(skip_serializing_if = "Option::is_none", default)]
-        pub index_version: Option<IndexVersion>,
-        /// Which shards the answer covers.
-        #[serde(skip_serializing_if = "Option::is_none", default)]
-        pub coverage: Option<Coverage>,
-        /// The rows in order.
-        #[serde(default)]
-        pub rows: Vec<Row>,
-    }
-
-    /// A refusal that has to do with the request's form.
-    pub struct Fault {
-        /// What is wrong, and what to do.
-        pub error: String,
-        /// Always `not_run`.
-        pub outcome: SmolStr,
-    }
-
-    /// The reply to the question which host to use.
-    pub struct EntryHosts {
-        /// How long the answer may be kept.
-        pub lifetime_ms: u64,
-        /// The addresses, the one to use first.
-        pub hosts: Vec<EntryHost>,
-    }
-
-    /// A host that takes callers.
-    pub struct EntryHost {
-        /// Its name.
-        pub host: HostId,
-        /// Its address for callers.
-        pub addr: SocketAddr,
-    }
-
-    /// What a host says of itself to operators.
-    pub struct Status {
-        /// The host.
-        pub host: HostId,
-        /// The deployment.
-        pub deployment: SmolStr,
-        /// The configuration version in force.
-        pub config_version: u64,
-        /// Callers are sent here.
-        pub ready: bool,
-        /// The host leaves.
-        pub leaving: bool,
-        /// Requests of callers that are running.
-        pub running: u32,
-        /// The seats that it holds.
-        pub seats: Vec<HostId>,
-        /// The hosts that it heard of lately.
-        pub live_hosts: Vec<HostId>,
-        /// The failure domains that operators took out.
-        pub domains_out: Vec<SmolStr>,
-    }
-}
-
 type HttpReply = Response<Full<Bytes>>;
 
 /// Why a request's form is not accepted.
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -28,8 +28,8 @@
 };
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome};
+use crate::process::configuration::sharing;
 use crate::process::servers::belief::Beliefs;
-use crate::process::sharing;
 use crate::process::tier::Tier;
 use crate::version::plan::{GatherRule, Target};
 
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -9,15 +9,16 @@
 use tokio::task::JoinSet;
 
 use super::batch_call::{BatchCall, Event};
-use super::choose::{Candidate, Choice, choose, choose_hedge, hedging_helps};
-use super::coordinator::Coordinator;
+use super::choose::{Choice, choose, choose_hedge, hedging_helps};
+use super::experience::Experience;
 use super::gather::Gather;
-use super::query::{Answer, Query};
 use crate::clock::{Monotonic, millis};
 use crate::connection::peer::{Batch, BatchId, BatchItem, Part, PeerClient, ShardReport};
+use crate::connection::query::{Answer, Query};
 use crate::ids::{HostId, ServerId, ShardId};
 use crate::outcome::{NotRunReason, Outcome};
-use crate::version::config::{Preference, Server, Service, Shard};
+use crate::process::servers::hints::Candidate;
+use crate::version::config::{Kind, Preference, Server, Service, Shard};
 use crate::version::operational::Operational;
 
 /// An early answer waits this many hedge delays.
@@ -37,29 +38,57 @@
 
 /// One run of a query on one pinned version.
 pub(super) struct Run<'a> {
-    pub(super) coordinator: &'a Coordinator,
-    pub(super) pinned: &'a Operational,
-    pub(super) service: &'a Service,
-    pub(super) query: &'a Query,
-    pub(super) shards: BTreeMap<ShardId, &'a Shard>,
-    pub(super) deadline: Monotonic,
-    pub(super) hedge_delay: Duration,
-    pub(super) gather: Gather,
-    pub(super) retries: Vec<(Monotonic, ShardId)>,
-    pub(super) calls: JoinSet<()>,
-    pub(super) sent: HashMap<ShardId, SmallVec<[SentAttempt; 2]>>,
-    pub(super) events: mpsc::UnboundedSender<Event>,
+    experience: &'a Experience,
+    pinned: &'a Operational,
+    service: &'a Service,
+    query: &'a Query,
+    shards: BTreeMap<ShardId, &'a Shard>,
+    deadline: Monotonic,
+    hedge_delay: Duration,
+    gather: Gather,
+    retries: Vec<(Monotonic, ShardId)>,
+    calls: JoinSet<()>,
+    sent: HashMap<ShardId, SmallVec<[SentAttempt; 2]>>,
+    events: mpsc::UnboundedSender<Event>,
+    inbox: mpsc::UnboundedReceiver<Event>,
+}
+
+impl<'a> Run<'a> {
+    /// Prepares a run of a query on the shards of a pinned version that it concerns.
+    pub(super) fn new(
+        experience: &'a Experience,
+        pinned: &'a Operational,
+        service: &'a Service,
+        query: &'a Query,
+        shards: BTreeMap<ShardId, &'a Shard>,
+        deadline: Monotonic,
+    ) -> Self {
+        let limit = (service.kind == Kind::Listing).then_some(query.limit as usize);
+        let (events, inbox) = mpsc::unbounded_channel();
+        Self {
+            experience,
+            gather: Gather::new(service.index_version, shards.keys().copied(), limit),
+            hedge_delay: experience.hedge_delay(service),
+            retries: Vec::new(),
+            calls: JoinSet::new(),
+            sent: HashMap::new(),
+            pinned,
+            service,
+            query,
+            shards,
+            deadline,
+            events,
+            inbox,
+        }
+    }
 }
 
 impl Run<'_> {
     /// Drives the query until it is answered, settled or out of time.
-    pub(super) async fn finish(
-        mut self,
-        mut inbox: mpsc::UnboundedReceiver<Event>,
-    ) -> (Outcome<Answer>, bool) {
+    pub(super) async fn finish(mut self) -> (Outcome<Answer>, bool) {
         let started = self.now();
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
-        self.coordinator.with_budgets(&self.service.id, |b| {
+        self.experience.with_budgets(&self.service.id, |b| {
             b.hedge.deposit(started, shards.len() as u64);
             b.retry.deposit(started, shards.len() as u64);
         });
@@ -67,9 +96,9 @@
         let mut hedge_at = Some(started + self.hedge_delay);
         while !self.is_done(started) {
             let wake = self.next_wake(started, hedge_at);
-            let until = self.coordinator.context.clock.instant(wake);
+            let until = self.experience.context.clock.instant(wake);
             tokio::select! {
-                Some(event) = inbox.recv() => self.on_event(event),
+                Some(event) = self.inbox.recv() => self.on_event(event),
                 () = tokio::time::sleep_until(until) => {}
             }
             let now = self.now();
@@ -85,7 +114,7 @@
     }
 
     fn now(&self) -> Monotonic {
-        self.coordinator.context.clock.now()
+        self.experience.context.clock.now()
     }
 
     fn is_done(&self, started: Monotonic) -> bool {
@@ -151,12 +180,12 @@
         let answered = part.ended.iter().filter(|r| matches!(r.outcome, Outcome::Answered(())));
         for report in answered {
             let held = Duration::from_micros(part.held_us.saturating_sub(report.took_us));
-            self.coordinator.record_latency(&self.service.id, took.saturating_sub(held));
+            self.experience.record_latency(&self.service.id, took.saturating_sub(held));
         }
     }
 
     fn take_hints(&self, now: Monotonic, part: &Part, reported: bool) {
-        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let mut hints = self.experience.hints.lock().expect("no holder of the lock panics");
         let mut overloaded = false;
         for report in &part.ended {
             let expected = Duration::from_micros(report.expected_us);
@@ -169,7 +198,7 @@
         }
         drop(hints);
         if overloaded {
-            self.coordinator.with_budgets(&self.service.id, |b| {
+            self.experience.with_budgets(&self.service.id, |b| {
                 b.hedge.on_overload(now);
                 b.retry.on_overload(now);
             });
@@ -188,8 +217,8 @@
 
     /// Takes one retry out of the budget, where there is one.
     fn spend_retry(&self, now: Monotonic) -> bool {
-        !self.coordinator.context.policy.retry_budget
-            || self.coordinator.with_budgets(&self.service.id, |b| b.retry.try_spend(now))
+        !self.experience.context.policy.retry_budget
+            || self.experience.with_budgets(&self.service.id, |b| b.retry.try_spend(now))
     }
 
     /// Plans the next attempt at a shard, if its failure and the budget allow one.
@@ -229,7 +258,7 @@
 
     /// Asks late shards again at another warm replica, within the budget.
     fn hedge(&mut self) {
-        if !self.coordinator.context.policy.hedging {
+        if !self.experience.context.policy.hedging {
             return;
         }
         let now = self.now();
@@ -242,7 +271,7 @@
             let Some(n) = choose_hedge(&candidates) else {
                 continue;
             };
-            if !self.coordinator.with_budgets(&self.service.id, |b| b.hedge.try_spend(now)) {
+            if !self.experience.with_budgets(&self.service.id, |b| b.hedge.try_spend(now)) {
                 return;
             }
             let server = self.shards[&shard].servers[n].clone();
@@ -253,11 +282,11 @@
     fn candidates(&self, shard: ShardId) -> Vec<Candidate> {
         let now = self.now();
         let typical = Duration::from_millis(self.service.limits.typical_ms);
-        let hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let hints = self.experience.hints.lock().expect("no holder of the lock panics");
         let tried = self.gather.tried(shard);
         let servers = self.shards.get(&shard).map_or(&[][..], |s| &s.servers);
         let candidate = |server: &Server| {
-            let open = self.coordinator.context.is_open(&server.id);
+            let open = self.experience.context.is_open(&server.id);
             hints.candidate(now, &server.id, typical, open, tried.contains(&server.id))
         };
         servers.iter().map(candidate).collect()
@@ -265,7 +294,7 @@
 
     /// Chooses a replica for each shard and sends; a shard without one keeps its reason.
     fn send(&mut self, shards: &[ShardId], kind: &'static str) {
-        let two_choices = self.coordinator.context.policy.two_choices;
+        let two_choices = self.experience.context.policy.two_choices;
         let choice = if two_choices { Choice::TwoChoices } else { Choice::Random };
         let mut chosen = Vec::with_capacity(shards.len());
         for shard in shards {
@@ -283,7 +312,7 @@
 
     /// Sends attempts to the owners of their servers, one batch for each owner.
     fn send_to(&mut self, chosen: Vec<(ShardId, Server)>, kind: &'static str) {
-        let context = &self.coordinator.context;
+        let context = &self.experience.context;
         context.metrics.attempts(kind, chosen.len() as u64);
         let newest = context.operational.load();
         let mut by_owner: BTreeMap<HostId, Vec<BatchItem>> = BTreeMap::new();
@@ -299,11 +328,7 @@
                 attempt, "routed"
             );
             self.gather.on_sent(shard, &server.id);
-            self.coordinator
-                .hints
-                .lock()
-                .expect("no holder of the lock panics")
-                .on_sent(&server.id);
+            self.experience.hints.lock().expect("no holder of the lock panics").on_sent(&server.id);
             let item = BatchItem { attempt, shard, server: server.id };
             by_owner.entry(owner).or_default().push(item);
         }
@@ -332,8 +357,8 @@
             items,
         };
         let call = BatchCall {
-            context: self.coordinator.context.clone(),
-            batches: self.coordinator.batches.clone(),
+            context: self.experience.context.clone(),
+            batches: self.experience.batches.clone(),
             owner,
             deadline: self.deadline,
             sent_at: self.now(),
@@ -349,9 +374,9 @@
             return;
         };
         for loser in sent.iter().filter(|attempt| running.contains(&attempt.server)) {
-            let context = self.coordinator.context.clone();
+            let context = self.experience.context.clone();
             if loser.owner == context.me {
-                self.coordinator.batches.cancel(loser.batch, &[shard]);
+                self.experience.batches.cancel(loser.batch, &[shard]);
                 continue;
             }
             let (owner, id) = (loser.owner.clone(), loser.batch);
@@ -370,7 +395,7 @@
     /// Gives up what still runs; dropping the calls stops it at the owners.
     fn abandon(&mut self) {
         self.calls.abort_all();
-        let mut hints = self.coordinator.hints.lock().expect("no holder of the lock panics");
+        let mut hints = self.experience.hints.lock().expect("no holder of the lock panics");
         for shard in self.shards.keys() {
             for server in self.gather.running(*shard) {
                 hints.on_abandoned(server);
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -14,7 +14,7 @@
 use crate::connection::peer_links::PendingCall;
 use crate::ids::{DomainId, ServerId, ServiceId};
 use crate::outcome::Outcome;
-use crate::process::fleet::members::DomainIndex;
+use crate::process::membership::members::DomainIndex;
 use crate::process::servers::belief::Standing;
 use crate::process::servers::registry::LiveServer;
 use crate::process::tier::Tier;
--- a/src/standin/data.rs
+++ b/src/standin/data.rs
@@ -2,8 +2,8 @@
 
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::connection::query::{Row, merge_rows};
 use crate::ids::{IndexVersion, ShardId};
-use crate::request::query::{Row, merge_rows};
 use crate::version::config::{Kind, stable_hash};
 
 const DATA_SEED: u64 = 0x6461_7461_0000_0001;
--- a/src/stateful/oracle.rs
+++ b/src/stateful/oracle.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 
 use crate::clock::Monotonic;
+use crate::connection::query::Answer;
 use crate::ids::{ConfigVersion, DomainId, HostId, RequestId, ServerId};
 use crate::outcome::Outcome;
-use crate::request::query::Answer;
 use crate::standin::data::version_of;
 use crate::version::config::Config;
 
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -7,7 +7,7 @@
 
 use common::{Deployment, eventually};
 use quetzalpoint::connection::caller::Caller;
-use quetzalpoint::request::query::QueryBody;
+use quetzalpoint::connection::query::QueryBody;
 
 struct Daemon(Child);
 
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -9,8 +9,8 @@
 use quetzalpoint::connection::peer::{
     Batch, BatchItem, Hello, HelloRefusal, Order, PROTOCOL_VERSION, PeerClient, Postcard,
 };
-use quetzalpoint::process::lease::{Claim, ClaimReply};
-use quetzalpoint::request::query::Query;
+use quetzalpoint::connection::query::Query;
+use quetzalpoint::process::membership::lease::{Claim, ClaimReply};
 use quetzalpoint::version::config::Kind;
 use tarpc::context;
 
--- a/tests/tier/facts_from_peers.rs
+++ b/tests/tier/facts_from_peers.rs
@@ -1,7 +1,7 @@
 //! Hosts that the platform refuses, or that have just started, hear its facts from other hosts.
 
+use quetzalpoint::process::configuration::sharing;
 use quetzalpoint::process::servers::registry::{Change, Fact};
-use quetzalpoint::process::sharing;
 use quetzalpoint::version::plan::PlanDocument;
 
 use crate::fake::{NORTH, World, record};
--- a/tests/tier/lost_relays.rs
+++ b/tests/tier/lost_relays.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quetzalpoint::Outcome;
-use quetzalpoint::process::fleet::beacon;
+use quetzalpoint::process::membership::beacon;
 use quetzalpoint::process::servers::registry::{Change, Fact};
 use quetzalpoint::request::entry::Answer;
 use quetzalpoint::request::relay;
--- a/tests/tier/platform_troubles.rs
+++ b/tests/tier/platform_troubles.rs
@@ -6,7 +6,7 @@
 
 use quetzalpoint::connection::source::{Freshness, Reading, Source, SourceError};
 use quetzalpoint::ids::Revision;
-use quetzalpoint::process::reader;
+use quetzalpoint::process::configuration::reader;
 use quetzalpoint::process::servers::registry::{Change, Fact};
 
 use crate::fake::{NORTH, World, record};
