--- a/src/bin/quetzal/commands.rs
+++ b/src/bin/quetzal/commands.rs
@@ -13,6 +13,10 @@
 use quetzalpoint::measure::fleet::Deployment;
 use quetzalpoint::measure::run::Measurement;
 use quetzalpoint::measure::{capacity, gossip_trial, scenario};
+use quetzalpoint::report::digest::Digest;
+use quetzalpoint::report::line::Log;
+use quetzalpoint::report::plot::svg;
+use quetzalpoint::report::story::Story;
 use quetzalpoint::version::check::check;
 use quetzalpoint::version::config::Config;
 use quetzalpoint::version::diff::diff;
@@ -48,6 +52,7 @@
         Command::TakeOut { target, config } => prepare(&config, target, true),
         Command::BringBack { target, config } => prepare(&config, target, false),
         Command::Explain { config, service } => explain(&config, &service),
+        Command::Report { request, plot, files } => report(request, plot, &files),
         Command::EntryHosts { hosts } => first_answer(&hosts).await.map(|answer| show(&answer)),
         Command::Status { hosts } => status(&hosts).await,
         Command::Query { query_options } => return query(query_options).await,
@@ -248,6 +253,26 @@
     }
 }
 
+fn report(request: Option<String>, plot: Option<PathBuf>, files: &[PathBuf]) -> Result<()> {
+    let log = Log::read(files)?;
+    match &request {
+        Some(request) => {
+            let story = Story::of(&log, request).ok_or_else(|| Error::UnknownName {
+                kind: "request",
+                name: request.clone(),
+                known: "requests that were answered in time have no line".into(),
+            })?;
+            print!("{story}");
+        }
+        None => print!("{}", Digest::of(&log)),
+    }
+    match plot {
+        Some(path) => std::fs::write(&path, svg(&log)?)
+            .map_err(|source| Error::File { path: path.display().to_string(), source }),
+        None => Ok(()),
+    }
+}
+
 fn read_config(path: &Path) -> Result<Config> {
     let config: Config = serde_json::from_str(&read(path)?).map_err(|error| Error::Malformed {
         what: path.display().to_string(),
--- a/src/bin/quetzal/options.rs
+++ b/src/bin/quetzal/options.rs
@@ -85,6 +85,19 @@
         #[bpaf(positional("SERVICE"))]
         service: String,
     },
+    /// Reads hosts' structured logs: a request's story, or the reasons of a whole run
+    #[bpaf(command)]
+    Report {
+        /// A request whose story is told, across hosts
+        #[bpaf(long, argument("ID"), optional)]
+        request: Option<String>,
+        /// An SVG file to draw latency and coverage over time into
+        #[bpaf(long, argument("FILE"), optional)]
+        plot: Option<PathBuf>,
+        /// Log files
+        #[bpaf(positional("FILE"), some("name at least one log file"))]
+        files: Vec<PathBuf>,
+    },
     /// Asks which entry hosts to use
     #[bpaf(command("entry-hosts"))]
     EntryHosts {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub(crate) mod peer_server;
 pub mod policy;
 pub mod process;
+pub mod report;
 pub mod request;
 pub mod standin;
 #[cfg(test)]
