--- a/src/process/budgets/extra_budget.rs
+++ b/src/process/budgets/extra_budget.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Monotonic;
+use crate::flaw::flawed;
 use crate::ids::ServiceId;
 
 /// The parts into which the window is cut; a whole window always lies within them.
@@ -69,7 +70,7 @@
         let allowance = limit.allowance * share / hosts.max(1) as f64;
         let allowed = f64::from(first).mul_add(limit.ratio, allowance);
         let granted = f64::from(extra) + 1.0 <= allowed;
-        if granted {
+        if granted && !flawed!(ExtraUncounted) {
             self.slice(now, service).extra += 1;
         }
         granted
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Monotonic;
+use crate::flaw::flawed;
 use crate::ids::{DomainId, Revision, ServerId, ServiceId};
 
 /// How long an entry that lapsed while the source was away is kept after the source's return;
@@ -252,7 +253,7 @@
         revision: Revision,
     ) -> bool {
         let known = self.servers.get(&id);
-        if known.is_some_and(|entry| entry.revision >= revision) {
+        if known.is_some_and(|entry| entry.revision >= revision) && !flawed!(OldWordWins) {
             return false;
         }
         let held = record.is_none().then(|| self.hold(now)).flatten();
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::clock::Monotonic;
+use crate::flaw::flawed;
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 
@@ -168,6 +169,9 @@
                 self.refusals += 1;
             }
             Outcome::NotRun(_) => self.refusals += 1,
+            Outcome::Unknown(_) | Outcome::Answered(()) if flawed!(LostIsUnreached) => {
+                self.reached.retain(|reached| reached != server);
+            }
             Outcome::Unknown(_) | Outcome::Answered(()) => self.ran += 1,
         }
         self.failure = Some(failure);
--- a/src/stateful/flaw.rs
+++ b/src/stateful/flaw.rs
@@ -23,6 +23,12 @@
     ConfigReverts,
     /// A request without a reply is said not to have run.
     LostIsNotRun,
+    /// An older word of the platform replaces a newer one.
+    OldWordWins,
+    /// An attempt beyond the first is not counted.
+    ExtraUncounted,
+    /// A server that may have run a request does not count as one that it reached.
+    LostIsUnreached,
 }
 
 thread_local! {
--- a/src/stateful/mod.rs
+++ b/src/stateful/mod.rs
@@ -1,5 +1,6 @@
 //! Stateful fuzzing: the real decision code in a world of messages, against a simple oracle.
 
+mod decisions;
 pub(crate) mod flaw;
 mod op;
 mod oracle;
