Hosts beyond a server's connections send by those that hold them

Ruled out: starts, gossip (all hosts were up for each other). Change: of a domain with more hosts than its servers' connections allow (two a host), the strongest hold connections; the others relay by them, as they do to other domains. Test: tests/tier/many_hosts_few_connections.rs, which fails without the choice.

--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -71,6 +71,13 @@
     pub reads: bool,
 }
 
+impl Heartbeat {
+    /// Orders hosts, the strongest first.
+    const fn strength(&self) -> (std::cmp::Reverse<u16>, Ipv4Addr) {
+        (std::cmp::Reverse(self.weight), self.ip)
+    }
+}
+
 /// A message between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -98,6 +105,8 @@
     pub sharing: usize,
     /// The same for each failure domain that has any.
     pub sharing_in: Vec<(DomainIndex, usize)>,
+    /// How many hosts of this host's failure domain come before it, the strongest first.
+    pub place: usize,
 }
 
 impl FleetView {
@@ -110,6 +119,17 @@
     pub fn working_in(&self, domain: DomainIndex) -> impl Iterator<Item = &Heartbeat> {
         self.up.iter().filter(move |h| h.domain == domain && h.phase == Phase::Ready)
     }
+
+    /// Returns the strongest hosts of a failure domain that are up and not leaving; all hosts that
+    /// know the same fleet agree on them.
+    pub fn strongest_in(&self, domain: DomainIndex, count: usize) -> Vec<Heartbeat> {
+        let mut hosts: Vec<Heartbeat> = self.working_in(domain).copied().collect();
+        if hosts.len() > count {
+            hosts.sort_unstable_by_key(Heartbeat::strength);
+            hosts.truncate(count);
+        }
+        hosts
+    }
 }
 
 /// The state of one host.
@@ -214,7 +234,14 @@
         for domain in domains.chain([self.me.domain]) {
             *sharing_in.entry(domain).or_default() += 1;
         }
+        let before = |member: &&Member| {
+            let other = &member.heartbeat;
+            let works = other.domain == self.me.domain && other.phase == Phase::Ready;
+            works && other.strength() < self.me.strength()
+        };
+        let place = up.clone().filter(before).count();
         FleetView {
+            place,
             up: up.map(|member| member.heartbeat).collect(),
             sharing: self.others.len() + 1,
             sharing_in: sharing_in.into_iter().collect(),
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -218,9 +218,21 @@
         plan.connection_share(&server.service, server.slots, sharers)
     }
 
-    /// Returns the host that should relay requests to a failure domain: up, with the same plan, and
-    /// with the fewest calls of this host for its weight.
-    pub fn relay_in(&self, domain: DomainIndex, version: ConfigVersion) -> Option<Ipv4Addr> {
+    /// Tells whether this host sends to a server itself, where it does not relay.
+    pub fn sends_itself(&self, server: &ServerRecord) -> bool {
+        let near = server.domain == self.settings.domain;
+        near && self.fleet.load().place < self.plan.load().holders(&server.service)
+    }
+
+    /// Returns the host that should relay requests for a service to a failure domain: one of those
+    /// that hold connections there, up, with the same plan, and with the fewest calls of this host
+    /// for its weight.
+    pub fn relay_in(
+        &self,
+        domain: DomainIndex,
+        service: &str,
+        version: ConfigVersion,
+    ) -> Option<Ipv4Addr> {
         let now = self.now();
         let fleet = self.fleet.load();
         let suspicion = self.suspicion();
@@ -229,7 +241,8 @@
             let calls = self.peers.waiting(h.ip) as f64 + 1.0 + rand::random::<f64>();
             calls / f64::from(h.weight.max(1))
         };
-        let fit = fleet.working_in(domain).filter(fit).map(|h| (h.ip, cost(h)));
+        let holders = fleet.strongest_in(domain, self.plan.load().holders(service));
+        let fit = holders.iter().filter(fit).map(|h| (h.ip, cost(h)));
         fit.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(ip, _)| ip)
     }
 
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -226,18 +226,19 @@
         Some(Planned { shard, server, standing })
     }
 
-    /// Notes attempts and starts them: directly to near servers, by one relay for each other
-    /// failure domain that has one.
+    /// Notes attempts and starts them: directly to servers that this host sends to itself, by one
+    /// relay for each failure domain that has one otherwise.
     fn send(&mut self, sends: Vec<Planned>) -> Vec<Way<B>> {
         let now = self.tier.now();
         let mut ways = Vec::with_capacity(sends.len());
-        let (near, far): (Vec<Planned>, Vec<Planned>) = sends
-            .into_iter()
-            .partition(|send| send.server.record.domain == self.tier.settings.domain);
+        let (near, far): (Vec<Planned>, Vec<Planned>) =
+            sends.into_iter().partition(|send| self.tier.sends_itself(&send.server.record));
         let pick_first = |shard: usize| self.runs[shard].offers() == 0;
         let far = group_far(self.tier, self.job, self.shards, far, pick_first);
         for ((domain, insists), sends) in far {
-            let relay = self.tier.relay_in(domain, self.version).filter(|_| !self.direct_only);
+            let service = sends.first().map_or("", |send| self.shards[send.shard].as_str());
+            let relay = self.tier.relay_in(domain, service, self.version);
+            let relay = relay.filter(|_| !self.direct_only);
             let call = relay.and_then(|host| {
                 start_relay(self.tier, self.job, host, self.version, &sends, insists)
             });
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -124,14 +124,14 @@
             let sound =
                 !standing.stalled && !standing.avoided && !standing.replaced && !standing.declined;
             let domain = &server.record.domain;
-            sound && *domain != tier.settings.domain && tier.may_run_in(&job.route, domain)
+            sound && !tier.sends_itself(&server.record) && tier.may_run_in(&job.route, domain)
         })
         .collect()
     };
     let mut options: Vec<Options> = moving.iter().map(sound).collect();
     drop(beliefs);
     while !moving.is_empty() {
-        let Some(domain) = widest(&options) else { break };
+        let Some(domain) = widest(&options, &tier.settings.domain) else { break };
         let mut rest = Vec::new();
         let mut rest_options = Vec::new();
         for (mut send, choices) in moving.into_iter().zip(options) {
@@ -156,9 +156,12 @@
     groups.into_iter().collect()
 }
 
-/// Returns the failure domain that has servers for the most attempts; equals in a random order, so
-/// that no domain gets all the work.
-fn widest(options: &[Options]) -> Option<DomainId> {
+/// Returns the failure domain that has servers for the most attempts, or this host's own where it has
+/// any; equals in a random order, so that no domain gets all the work.
+fn widest(options: &[Options], own: &DomainId) -> Option<DomainId> {
+    if options.iter().flatten().any(|(server, _)| server.record.domain == *own) {
+        return Some(own.clone());
+    }
     let mut counts: BTreeMap<&DomainId, f64> = BTreeMap::new();
     for (server, _) in options.iter().flatten() {
         *counts.entry(&server.record.domain).or_insert_with(rand::random::<f64>) += 1.0;
--- a/src/version/plan.rs
+++ b/src/version/plan.rs
@@ -18,6 +18,10 @@
 /// rest is left to hosts that send from afar because a relay failed.
 const NEAR_PERCENT: usize = 90;
 
+/// The connections to one server that a host should have room for: with a single one, a server that
+/// is slow to answer one request keeps all others of the host waiting.
+const HOLDER_CONNECTIONS: usize = 2;
+
 /// Names a route of a plan.
 pub type RouteId = SmolStr;
 
@@ -215,6 +219,16 @@
         self.by_id.values()
     }
 
+    /// Returns how many hosts of a failure domain may hold connections to its servers of a service.
+    /// In a domain with more hosts, the others send by these, since servers reset what is too much.
+    pub fn holders(&self, service: &str) -> usize {
+        let holders = |terms: &ServiceTerms| {
+            let near = terms.max_connections as usize * NEAR_PERCENT / 100;
+            (near / HOLDER_CONNECTIONS).max(1)
+        };
+        self.services.get(service).map_or(usize::MAX, holders)
+    }
+
     /// Returns the connections that one host may hold to one server of a service that works on
     /// `slots` requests at a time.
     ///
@@ -224,11 +238,12 @@
     pub fn connection_share(&self, service: &str, slots: u32, sharers: Sharers) -> usize {
         let max = self.services.get(service).map_or(1, |terms| terms.max_connections as usize);
         let most = slots as usize + 1;
-        let near = (max * NEAR_PERCENT / 100 / sharers.near_hosts.max(1)).clamp(1, most);
+        let near_hosts = sharers.near_hosts.min(self.holders(service));
+        let near = (max * NEAR_PERCENT / 100 / near_hosts.max(1)).clamp(1, most);
         if sharers.near {
             return near;
         }
-        let left = max.saturating_sub(near * sharers.near_hosts);
+        let left = max.saturating_sub(near * near_hosts);
         let far_hosts = sharers.hosts.saturating_sub(sharers.near_hosts);
         (left / far_hosts.max(1)).clamp(1, most)
     }
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -210,7 +210,8 @@
         Self::build(shards, ip, domain, servers, MAX_CONNECTIONS)
     }
 
-    fn build(
+    /// Does the same with servers that accept few connections.
+    pub fn build(
         shards: usize,
         ip: Ipv4Addr,
         domain: &str,
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -9,6 +9,7 @@
 mod leaving_servers;
 mod lost_relays;
 mod lost_replies;
+mod many_hosts_few_connections;
 mod many_slow_servers;
 mod platform_troubles;
 mod reused_addresses;
