--- a/src/bin/quetzal/commands.rs
+++ b/src/bin/quetzal/commands.rs
@@ -262,9 +262,9 @@
                 name: request.clone(),
                 known: "requests that were answered in time have no line".into(),
             })?;
-            print!("{story}");
+            print_all(&story)?;
         }
-        None => print!("{}", Digest::of(&log)),
+        None => print_all(&Digest::of(&log))?,
     }
     match plot {
         Some(path) => std::fs::write(&path, svg(&log)?)
@@ -273,6 +273,16 @@
     }
 }
 
+/// Prints a text that may be cut off by whoever reads it, such as `head`.
+fn print_all(text: &impl std::fmt::Display) -> Result<()> {
+    match write!(std::io::stdout(), "{text}") {
+        Err(error) if error.kind() != std::io::ErrorKind::BrokenPipe => {
+            Err(Error::File { path: "standard output".into(), source: error })
+        }
+        Ok(()) | Err(_) => Ok(()),
+    }
+}
+
 fn read_config(path: &Path) -> Result<Config> {
     let config: Config = serde_json::from_str(&read(path)?).map_err(|error| Error::Malformed {
         what: path.display().to_string(),
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -79,6 +79,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns a server that may get new work.
+    pub fn get(&self, server: &str) -> Option<&Arc<LiveServer>> {
+        self.by_id.get(server)
+    }
+
     /// Tells whether a server may get new work.
     pub fn may_send(&self, server: &str) -> bool {
         self.by_id.contains_key(server)
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -339,7 +339,11 @@
         }
         drop(registry);
         let servers = self.servers.load();
-        self.pool.sweep(now, |server| servers.may_send(server));
+        // Connections that this host does not use any more keep others from opening theirs.
+        let wanted = |live: &Arc<LiveServer>| {
+            live.record.domain != self.settings.domain || self.sends_itself(&live.record)
+        };
+        self.pool.sweep(now, |server| servers.get(server).is_some_and(wanted));
         self.beliefs().forget_unused(now, FORGET_SERVERS_AFTER);
     }
 
--- a/tests/tier/many_hosts_few_connections.rs
+++ b/tests/tier/many_hosts_few_connections.rs
@@ -28,6 +28,10 @@
         world
     };
     let mut worlds: Vec<World> = ips.iter().map(start).collect();
+    for world in &mut worlds {
+        world.serve("all").await;
+        assert!(world.tier.pool.open() > 0, "a host that knows no other sends itself");
+    }
     let until = Instant::now() + PATIENCE;
     while worlds.iter().any(|world| world.tier.fleet.load().up.len() < ips.len() - 1) {
         assert!(Instant::now() < until, "the hosts find each other");
@@ -44,6 +48,10 @@
             assert_eq!(gathered.missing, 0);
         }
     }
+    // Before the hosts knew of each other, each held connections of its own.
+    for world in &worlds {
+        world.tier.sweep();
+    }
     let open: Vec<usize> = worlds.iter().map(|world| world.tier.pool.open()).collect();
     assert!(open[0] > 0, "the first host holds connections: {open:?}");
     assert_eq!(open[1..], [0, 0, 0], "the others send by it");
