--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -10,7 +10,8 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use quetzal_platform_standin::message::{
-    DEADLINE_MS, MISSING_PARTS, PART_STAMPS, REQUEST_ID, directory_addrs, directory_path,
+    DEADLINE_MS, MISSING_PARTS, PART_STAMPS, REQUEST_ID, RESPONSE_STAMP, directory_addrs,
+    directory_path,
 };
 use quetzal_platform_standin::settings::{DIRECTORY_PORT, HOST_NAME};
 use rand::RngExt;
@@ -38,6 +39,7 @@
 #[derive(Debug, Clone)]
 pub struct Answer {
     pub status: u16,
+    /// The signatures of the parts, or the one of the server that ran a plain request.
     pub signatures: Vec<String>,
     pub missing: usize,
     pub body: Bytes,
@@ -153,7 +155,8 @@
         let (head, body) = answer.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let field = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let signatures = field(PART_STAMPS).unwrap_or_default();
+        let signatures = field(if once { RESPONSE_STAMP } else { PART_STAMPS });
+        let signatures = signatures.unwrap_or_default();
         let signatures = signatures.split(", ").filter(|s| !s.is_empty());
         let closes = field("connection") == Some("close");
         let answer = Answer {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{Answer, End, PATIENCE, Sent};
-use crate::world::{FLOOR, World, greatest};
+use crate::world::{FLOOR, World, greatest, records};
 
 /// How much later than its deadline an answer may come on a shared machine.
 const SLACK: Duration = Duration::from_millis(500);
@@ -53,38 +53,53 @@
         return fault("answered late");
     }
     match answer.status {
-        200 if !sent.once => {
-            gathered(&world.shards, &sent.id, answer).and_then(|what| fault(&what))
-        }
-        200 | 429 | 502 | 503 | 504 => None,
+        200 if sent.once => plain(&world.shards, &sent.id, answer).and_then(fault),
+        200 => gathered(&world.shards, &sent.id, answer).and_then(fault),
+        429 | 502 | 503 | 504 => None,
         _ => fault("a status that no proper request gets"),
     }
 }
 
+/// Checks the answer of one server of the first shard.
+fn plain(shards: &[String], id: &str, answer: &Answer) -> Option<&'static str> {
+    let [signature] = &answer.signatures[..] else {
+        return Some("not one signature");
+    };
+    let words: Vec<&str> = signature.split('/').collect();
+    match words[..] {
+        [shard, _server, request] if shard == shards[0] && request == id => {
+            (answer.body != records(0)).then_some("not the server's body")
+        }
+        _ => Some("another request's answer"),
+    }
+}
+
 /// Checks an answer of several shards.
-fn gathered(shards: &[String], id: &str, answer: &Answer) -> Option<String> {
+fn gathered(shards: &[String], id: &str, answer: &Answer) -> Option<&'static str> {
     let mut parts = BTreeSet::new();
     for signature in &answer.signatures {
-        let mut words = signature.split('/');
-        let (shard, _server, request) = (words.next()?, words.next()?, words.next()?);
+        let words: Vec<&str> = signature.split('/').collect();
+        let [shard, _server, request] = words[..] else {
+            return Some("a signature that no server made");
+        };
         let Some(shard) = shards.iter().position(|known| known == shard) else {
-            return Some("a part of no shard".into());
+            return Some("a part of no shard");
         };
         if request != id {
-            return Some("a part of another request".into());
+            return Some("a part of another request");
         }
         if !parts.insert(shard) {
-            return Some("two parts of one shard".into());
+            return Some("two parts of one shard");
         }
     }
     if parts.len() + answer.missing != shards.len() {
-        return Some("the missing parts are not told".into());
+        return Some("the missing parts are not told");
     }
     if (parts.len() as f64) < FLOOR * shards.len() as f64 {
-        return Some("too few parts".into());
+        return Some("too few parts");
     }
     let expected = greatest(parts.into_iter());
-    (answer.body != expected).then(|| "not the greatest records of its parts".into())
+    (answer.body != expected).then_some("not the greatest records of its parts")
 }
 
 #[cfg(test)]
