Far hosts are told of the sender's domain only; large domains gossip to three hosts

And with two near targets hosts that are up were taken for silent now and then. Change (fleets beyond 16 hosts; small ones as before): far messages hold the sender's domain, near ones go to three hosts, and hosts of other domains are silent after 4 s instead of 2.6 s; suspicion, which watches calls, is faster than either.

--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -20,16 +20,23 @@
 pub const NEAR_EVERY: Duration = Duration::from_millis(250);
 /// How often a host sends gossip to a host of another failure domain.
 pub const FAR_EVERY: Duration = Duration::from_millis(500);
-/// The hosts of the own domain that get each message.
-const NEAR_FANOUT: usize = 2;
-/// In a fleet of up to this many others, bytes are few, and hosts that stand alone in their domain
-/// are heard often enough only if each host tells more than one far host.
+/// The hosts of the own domain that get each message, in a small and in a large fleet. With two in a
+/// domain of fifteen hosts, lost messages make some seem silent at times.
+const SMALL_NEAR_FANOUT: usize = 2;
+const LARGE_NEAR_FANOUT: usize = 3;
+/// In a fleet of up to this many others, bytes are few: far hosts are told of the whole fleet, and
+/// hosts that stand alone in their domain are heard often enough only if each host tells more than
+/// one far host.
 const SMALL_FLEET: usize = 16;
 const SMALL_FAR_FANOUT: usize = 3;
+const LARGE_FAR_FANOUT: usize = 1;
 /// A host of the own domain is taken to be down after this silence: four rounds of gossip.
 const NEAR_SILENCE: Duration = Duration::from_millis(1_300);
 /// The same for hosts of other domains, whose heartbeats take one more hop.
 const FAR_SILENCE: Duration = Duration::from_millis(2_600);
+/// The same in a large fleet, where word of a domain comes from its own hosts only and spreads on by
+/// the hosts of the domain that hears it.
+const LARGE_FAR_SILENCE: Duration = Duration::from_millis(4_000);
 /// A silent host is forgotten after this, and counts towards shared limits until then.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -172,12 +179,13 @@
             self.next_near = now + NEAR_EVERY;
             self.me.count += 1;
             let near: Vec<Ipv4Addr> = self.known(now, |member| member.domain == self.me.domain);
-            to.extend(near.sample(rng, NEAR_FANOUT));
+            let fanout = if self.is_small() { SMALL_NEAR_FANOUT } else { LARGE_NEAR_FANOUT };
+            to.extend(near.sample(rng, fanout));
         }
         if now >= self.next_far {
             self.next_far = now + FAR_EVERY;
             let far: Vec<Ipv4Addr> = self.known(now, |member| member.domain != self.me.domain);
-            let fanout = if self.others.len() <= SMALL_FLEET { SMALL_FAR_FANOUT } else { 1 };
+            let fanout = if self.is_small() { SMALL_FAR_FANOUT } else { LARGE_FAR_FANOUT };
             to.extend(far.sample(rng, fanout));
             // Hosts that have not heard of each other have a seed in common; asking one now and
             // then joins sides that a partition had parted for long.
@@ -190,9 +198,26 @@
             to.sort_unstable();
             to.dedup();
         }
-        let gossip =
-            Gossip { heartbeats: self.heartbeats(now), wants_answer: self.others.is_empty() };
-        to.into_iter().map(|ip| (ip, gossip.clone())).collect()
+        let wants_answer = self.others.is_empty();
+        let all = self.heartbeats(now);
+        // Bytes between domains are dear: what far hosts are told is what they can't hear at home.
+        let own_domain: Vec<Heartbeat> = if self.is_small() {
+            all.clone()
+        } else {
+            all.iter().filter(|heartbeat| heartbeat.domain == self.me.domain).copied().collect()
+        };
+        let is_far = |ip: &Ipv4Addr| {
+            self.others.get(ip).is_some_and(|member| member.heartbeat.domain != self.me.domain)
+        };
+        let gossip = |ip: Ipv4Addr| {
+            let told = if is_far(&ip) { &own_domain } else { &all };
+            (ip, Gossip { heartbeats: told.clone(), wants_answer })
+        };
+        to.into_iter().map(gossip).collect()
+    }
+
+    fn is_small(&self) -> bool {
+        self.others.len() <= SMALL_FLEET
     }
 
     /// Takes in a message; returns the answer that its sender wants.
@@ -221,8 +246,13 @@
 
     /// Tells whether a host is up, as far as its heartbeats show.
     fn is_up(&self, now: Monotonic, member: &Member) -> bool {
-        let silence =
-            if member.heartbeat.domain == self.me.domain { NEAR_SILENCE } else { FAR_SILENCE };
+        let silence = if member.heartbeat.domain == self.me.domain {
+            NEAR_SILENCE
+        } else if self.is_small() {
+            FAR_SILENCE
+        } else {
+            LARGE_FAR_SILENCE
+        };
         now.saturating_sub(member.heard_at) < silence
     }
 
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -125,3 +125,44 @@
     assert_eq!(view.sharing, 8);
     assert_eq!(view.up.len(), 3);
 }
+
+#[test]
+fn hosts_of_other_domains_are_told_of_the_senders_domain_only() {
+    struct Case {
+        name: &'static str,
+        hosts: u8,
+        most_told: usize,
+    }
+    let cases = [
+        Case { name: "a small fleet", hosts: 8, most_told: 8 },
+        Case { name: "a large fleet", hosts: 60, most_told: 15 },
+    ];
+    for case in cases {
+        let mut net = Net::new(case.hosts);
+        net.run(Duration::from_secs(4), 0.0);
+        let sender = net.hosts[0].as_mut().expect("the host is up");
+        for _ in 0..20 {
+            net.now += Duration::from_millis(500);
+            for (to, gossip) in sender.tick(net.now, &mut net.rng) {
+                if to.octets()[1] != 0 {
+                    assert!(gossip.heartbeats.len() <= case.most_told, "{}", case.name);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn sixty_hosts_stay_up_for_each_other_though_messages_are_lost() {
+    for seed in 0..4 {
+        let mut net = Net::new(60);
+        net.rng = StdRng::seed_from_u64(seed);
+        net.run(Duration::from_secs(5), 0.02);
+        for _ in 0..100 {
+            net.run(Duration::from_millis(200), 0.02);
+            for n in 0..60 {
+                assert_eq!(net.up_at(n).len(), 59, "seed {seed}: at {n} after {:?}", net.now);
+            }
+        }
+    }
+}
