Read as a newcomer: one piece accepts connections, one word for a sound server

What makes a server sound stood in pick.rs and way.rs: Standing says it. A story keeps its beginning rather than looking for it again. Constants of the soak and the plot say unit and reason.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -27,6 +27,7 @@
 pub const GIVE_UP: Duration = Duration::from_millis(4_000);
 /// How long a caller keeps a directory answer; three times its lifetime.
 const KEEP_ADDRESSES: Duration = Duration::from_secs(3);
+/// A host on the same machine that does not accept by then stands still.
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// The pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(25);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -18,6 +18,8 @@
 pub const FIRST: Duration = Duration::from_secs(3);
 /// All faults are over this long before the end, so that service must be back.
 pub const CALM_END: Duration = Duration::from_secs(8);
+/// The longest fault, in milliseconds: longer than hosts take to miss each other, shorter than a
+/// daemon's grace.
 const LONGEST_MS: u64 = 2_500;
 /// A replaced server's old entry stays for this long, as that of a crashed one does.
 const ENTRY_STAYS: Duration = Duration::from_millis(1_500);
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -12,6 +12,7 @@
 const DELAY: Duration = Duration::from_millis(40);
 /// How often a held piece looks whether it may pass.
 const RECHECK: Duration = Duration::from_millis(10);
+/// The most that passes at once, in bytes; all of a stand-in's replies fit.
 const PIECE_BYTES: usize = 16 * 1024;
 
 /// What a proxy does with what passes.
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -24,7 +24,9 @@
 pub const RECORD_COUNT: usize = 8;
 /// The least share of the shards that makes an answer.
 pub const FLOOR: f64 = 0.5;
+/// More records in two shards than an answer holds, so that merging must choose.
 const RECORDS_PER_SHARD: u8 = 5;
+/// The length of a record on the platform, in bytes.
 const RECORD_BYTES: usize = 16;
 /// A terminated process is waited for this long: its grace is four seconds, and it may stand still.
 const END_WITHIN: Duration = Duration::from_secs(8);
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a connection: to backend servers, to other hosts and to the platform.
 
+pub mod accept;
 pub mod backend;
 pub mod caller;
 pub mod caller_form;
--- a/src/process/servers/belief.rs
+++ b/src/process/servers/belief.rs
@@ -82,6 +82,18 @@
     pub declined: bool,
 }
 
+impl Standing {
+    /// Tells whether nothing speaks against the server itself.
+    pub const fn is_working(&self) -> bool {
+        !self.stalled && !self.avoided
+    }
+
+    /// Tells whether nothing speaks against sending to it.
+    pub const fn is_sound(&self) -> bool {
+        self.is_working() && !self.replaced && !self.declined
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     ticket: Ticket,
--- a/src/report/plot.rs
+++ b/src/report/plot.rs
@@ -9,6 +9,7 @@
 
 /// The size of the picture, in pixels.
 const SIZE: (u32, u32) = (1_000, 700);
+/// The space around a chart and beside its axes, in pixels; labels of four digits fit.
 const MARGIN: u32 = 12;
 const LABELS: u32 = 48;
 
--- a/src/report/story.rs
+++ b/src/report/story.rs
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 pub struct Story<'a> {
     request: &'a str,
+    began_at: Timestamp,
     lines: Vec<&'a LogLine>,
 }
 
@@ -49,19 +50,15 @@
                 origins.contains(&line.origin) && ABOUT_ALL.contains(&line.message.as_str());
             near && (of_server || of_host)
         };
-        Some(Self { request, lines: log.lines.iter().filter(told).collect() })
+        Some(Self { request, began_at: first, lines: log.lines.iter().filter(told).collect() })
     }
 }
 
 impl fmt::Display for Story<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Some(first) = self.lines.iter().find(|line| line.is_about("request", self.request))
-        else {
-            return Ok(());
-        };
-        writeln!(f, "request {} from {}", self.request, first.timestamp)?;
+        writeln!(f, "request {} from {}", self.request, self.began_at)?;
         for line in &self.lines {
-            let after = line.timestamp.duration_since(first.timestamp).as_secs_f64() * 1e3;
+            let after = line.timestamp.duration_since(self.began_at).as_secs_f64() * 1e3;
             write!(f, "{after:>10.1} ms  {}  {}", line.origin, line.message)?;
             for (name, _) in line.fields.iter().filter(|(name, _)| *name != "request") {
                 write!(f, " {name}={}", line.text(name))?;
--- a/src/request/experience.rs
+++ b/src/request/experience.rs
@@ -24,6 +24,7 @@
 const MAX_HEDGE_FACTOR: u32 = 5;
 /// The hedge delay while there are too few samples.
 const START_HEDGE_FACTOR: u32 = 4;
+
 #[derive(Debug)]
 pub(super) struct Budgets {
     pub(super) hedge: Budget,
--- a/src/request/pick.rs
+++ b/src/request/pick.rs
@@ -54,9 +54,7 @@
             .filter(|n| !candidates[*n].tried && !candidates[*n].full && fit(&candidates[*n]))
             .min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
     };
-    let working = |c: &Candidate| !c.standing.stalled && !c.standing.avoided;
-    let sound = best(|c| !c.standing.stalled && !c.standing.avoided && !c.standing.declined);
-    let sound = sound.or_else(|| best(working));
+    let sound = best(|c| c.standing.is_sound()).or_else(|| best(|c| c.standing.is_working()));
     match purpose {
         Purpose::Hedge => sound,
         Purpose::Needed => {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -22,6 +22,7 @@
 use super::records::TopRecords;
 use super::timer::sleep_until;
 use crate::clock::{Monotonic, micros};
+use crate::connection::accept::accept;
 use crate::connection::exchange::{BackendProtocol, Reply};
 use crate::connection::peer_frame::{
     CallId, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode, encode,
@@ -37,8 +38,6 @@
 const MAX_WAITING_FRAMES: usize = 512;
 /// After the first frame, parts that come within this are returned together.
 const COALESCE: Duration = Duration::from_millis(4);
-/// The pause after a connection could not be accepted.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 type Running = Arc<Mutex<HashMap<CallId, CancellationToken>>>;
 
@@ -49,21 +48,10 @@
 /// Returns what the operating system said where the port can't be bound.
 pub async fn serve<B: BackendProtocol>(tier: Arc<Tier<B>>) -> io::Result<()> {
     let listener = TcpListener::bind((tier.settings.ip, tier.settings.peer_port)).await?;
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = tier.stopped.cancelled() => return Ok(()),
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(connection(tier.clone(), stream));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "connection of a host not accepted");
-                tokio::time::sleep(ACCEPT_RETRY).await;
-            }
-        }
+    while let Some(stream) = accept(&listener, &tier.stopped, "a host").await {
+        tokio::spawn(connection(tier.clone(), stream));
     }
+    Ok(())
 }
 
 async fn connection<B: BackendProtocol>(tier: Arc<Tier<B>>, stream: TcpStream) {
--- a/src/request/way.rs
+++ b/src/request/way.rs
@@ -102,7 +102,7 @@
     let mut groups: BTreeMap<(DomainIndex, Insists), Vec<Planned>> = BTreeMap::new();
     let key = |send: &Planned| {
         let standing = &send.standing;
-        let insists = standing.stalled || standing.avoided || standing.declined;
+        let insists = !standing.is_working() || standing.declined;
         (tier.domain_index(&send.server.record.domain), insists)
     };
     let (mut moving, fixed): (Vec<Planned>, Vec<Planned>) =
@@ -121,10 +121,10 @@
         };
         let far = servers.of(&shards[send.shard]).iter().map(standing);
         far.filter(|(server, standing)| {
-            let sound =
-                !standing.stalled && !standing.avoided && !standing.replaced && !standing.declined;
             let domain = &server.record.domain;
-            sound && !tier.sends_itself(&server.record) && tier.may_run_in(&job.route, domain)
+            standing.is_sound()
+                && !tier.sends_itself(&server.record)
+                && tier.may_run_in(&job.route, domain)
         })
         .collect()
     };
