A test of hosts that know no others serves before they can hear of each other

Traced: the test had started gossip before, and hosts hear of each other within milliseconds, so that the last of four already sent by another when it was asked; the assertion was about a state that the test did not hold.

--- a/tests/tier/many_hosts_few_connections.rs
+++ b/tests/tier/many_hosts_few_connections.rs
@@ -23,8 +23,6 @@
     let start = |ip: &Ipv4Addr| {
         let world = World::build(SHARDS, *ip, NORTH, servers.clone(), MAX_CONNECTIONS);
         world.tier.members().set_seeds(ips.clone());
-        tokio::spawn(beacon::run(world.tier.clone()));
-        tokio::spawn(relay::serve(world.tier.clone()));
         world
     };
     let mut worlds: Vec<World> = ips.iter().map(start).collect();
@@ -32,6 +30,11 @@
         world.serve("all").await;
         assert!(world.tier.pool.open() > 0, "a host that knows no other sends itself");
     }
+    // Only now, since hosts hear of each other within milliseconds.
+    for world in &worlds {
+        tokio::spawn(beacon::run(world.tier.clone()));
+        tokio::spawn(relay::serve(world.tier.clone()));
+    }
     let until = Instant::now() + PATIENCE;
     while worlds.iter().any(|world| world.tier.fleet.load().up.len() < ips.len() - 1) {
         assert!(Instant::now() < until, "the hosts find each other");
