Ask a relay again whose refusal left a shard without another attempt

Cause: a relay may decline to send to a server that it believes slow or stalled. If the attempt at the shard's other server was still in flight, the server that was declined stayed excluded for the rest of the request, so the shard had no further attempt and its part was left out.

Change: a declined server is no longer excluded, and the shard is checked at once; the relay is then asked with `insists` set.

--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -152,6 +152,14 @@
         attempts: u32,
     ) -> Next {
         self.running = self.running.saturating_sub(1);
+        let declined = matches!(
+            failure,
+            Outcome::NotRun(NotRunReason::NotOwner | NotRunReason::VersionGone)
+        );
+        if declined {
+            // A relay that declined may be called again, with `insists` set.
+            self.excluded.retain(|excluded| excluded != server);
+        }
         match &failure {
             Outcome::NotRun(
                 NotRunReason::Unreachable
@@ -181,6 +189,9 @@
             return Next::Wait;
         }
         if self.running > 0 {
+            if declined {
+                self.next_check_at = Some(now);
+            }
             return Next::Wait;
         }
         let all_tried = self.reached.len() as u32 >= attempts
