Count an outlier for a server's slowness only if a later request confirms it

Cause: all requests that a paused server delays arrive together and each raised its slowness, to four times the usual and more; that kept it from being used for two to three seconds after each pause of a quarter of a second. Requests went to other failure domains instead, and relays declined servers that were healthy.

Change: an outlier counts only if its request was sent after the outlier before it had arrived, with no usual reply in between.

--- a/src/process/servers/passive_health.rs
+++ b/src/process/servers/passive_health.rs
@@ -27,6 +27,9 @@
 const SLOWER_WEIGHT: f64 = 0.4;
 /// The weight of a reply that is faster than the moving average.
 const FASTER_WEIGHT: f64 = 0.15;
+/// A reply that took this many times the usual time may show a pause of the server, which says
+/// nothing about its next replies.
+const OUTLIER_RATIO: f64 = 2.5;
 /// The weight of one failure in the moving average of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.3;
 /// A server with a higher failure rate than this gets only probe requests.
@@ -110,6 +113,8 @@
     pending: SmallVec<[PendingAttempt; 4]>,
     last_reply_at: Monotonic,
     slowness: f64,
+    /// When the last outlier was received, if no usual reply has followed it.
+    outlier_at: Option<Monotonic>,
     failure_rate: f64,
     decayed_at: Monotonic,
     backoff_until: Monotonic,
@@ -125,6 +130,7 @@
             pending: SmallVec::new(),
             last_reply_at: Monotonic::ZERO,
             slowness: 1.0,
+            outlier_at: None,
             failure_rate: 0.0,
             decayed_at: now,
             backoff_until: Monotonic::ZERO,
@@ -156,6 +162,32 @@
         })
     }
 
+    /// Updates the moving average of the slowness with a request that was sent at `sent_at`.
+    ///
+    /// A server that pauses delays all requests that it has, and is then as fast as before.
+    /// Therefore an outlier counts only if the request was sent after the outlier before it arrived,
+    /// with no usual reply in between: then the server is slow, not paused.
+    fn update_slowness(
+        &mut self,
+        now: Monotonic,
+        sent_at: Monotonic,
+        took: Duration,
+        usual: Duration,
+    ) {
+        let ratio = (took.as_secs_f64() / usual.as_secs_f64().max(1e-6)).clamp(0.2, 20.0);
+        if ratio < OUTLIER_RATIO {
+            self.outlier_at = None;
+        } else {
+            let previous = self.outlier_at.get_or_insert(now);
+            if sent_at <= *previous {
+                return;
+            }
+            *previous = now;
+        }
+        let weight = if ratio > self.slowness { SLOWER_WEIGHT } else { FASTER_WEIGHT };
+        self.slowness += (ratio - self.slowness) * weight;
+    }
+
     fn start_backoff(&mut self, now: Monotonic) {
         self.backoff_until = now + self.backoff;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
@@ -254,7 +286,7 @@
     pub fn on_reply_time(&mut self, now: Monotonic, server: &str, took: Duration, usual: Duration) {
         if let Some(stats) = self.servers.get_mut(server) {
             stats.decay(now);
-            Self::update_slowness(stats, took, usual);
+            stats.update_slowness(now, now.saturating_sub(took), took, usual);
         }
     }
 
@@ -285,7 +317,7 @@
                 stats.backoff = INITIAL_BACKOFF;
                 stats.backoff_until = Monotonic::ZERO;
                 if let Some(usual) = usual {
-                    Self::update_slowness(stats, took, usual);
+                    stats.update_slowness(now, sent_at.unwrap_or(now), took, usual);
                 }
                 false
             }
@@ -308,7 +340,7 @@
                 let Some(usual) = usual.filter(|usual| waited > *usual) else {
                     return false;
                 };
-                Self::update_slowness(stats, waited, usual);
+                stats.update_slowness(now, sent_at.unwrap_or(now), waited, usual);
                 let no_reply = stats.last_reply_at < sent_at.unwrap_or(now)
                     && waited > Self::overdue_after(usual) * 2;
                 if no_reply {
@@ -340,12 +372,6 @@
         });
     }
 
-    fn update_slowness(stats: &mut ServerStats, took: Duration, typical: Duration) {
-        let ratio = (took.as_secs_f64() / typical.as_secs_f64().max(1e-6)).clamp(0.2, 20.0);
-        let weight = if ratio > stats.slowness { SLOWER_WEIGHT } else { FASTER_WEIGHT };
-        stats.slowness += (ratio - stats.slowness) * weight;
-    }
-
     fn update_failure_rate(stats: &mut ServerStats, now: Monotonic) -> bool {
         stats.failure_rate += (1.0 - stats.failure_rate) * FAILURE_WEIGHT;
         let too_high = stats.failure_rate > MAX_FAILURE_RATE;
