Take the time that a caller has used from what callers send

Cause: the time used was the route's timeout less the deadline sent. After a change of the route's timeout, callers go on sending what they sent before: with a lower timeout, connecting counted for nothing and answers left too late; with a higher one, every request counted as begun long ago.

Change: the usual deadline of a route is the longest that recurs among the last 32 requests. The log line of a late answer names the time that was allowed, and an answer counts as late by it. An unconfirmed outlier of a server now counts as 1.5 times the usual time instead of not at all.

--- a/src/process/servers/passive_health.rs
+++ b/src/process/servers/passive_health.rs
@@ -30,6 +30,8 @@
 /// A reply that took this many times the usual time may show a pause of the server, which says
 /// nothing about its next replies.
 const OUTLIER_RATIO: f64 = 2.5;
+/// An outlier counts as a reply that took this many times the usual time until another confirms it.
+const UNCONFIRMED_OUTLIER_RATIO: f64 = 1.5;
 /// The weight of one failure in the moving average of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.3;
 /// A server with a higher failure rate than this gets only probe requests.
@@ -165,8 +167,8 @@
     /// Updates the moving average of the slowness with a request that was sent at `sent_at`.
     ///
     /// A server that pauses delays all requests that it has, and is then as fast as before.
-    /// Therefore an outlier counts only if the request was sent after the outlier before it arrived,
-    /// with no usual reply in between: then the server is slow, not paused.
+    /// Therefore an outlier counts in full only if the request was sent after the outlier before it
+    /// arrived, with no usual reply in between: then the server is slow, not paused.
     fn update_slowness(
         &mut self,
         now: Monotonic,
@@ -178,12 +180,20 @@
         if ratio < OUTLIER_RATIO {
             self.outlier_at = None;
         } else {
+            let newly = self.outlier_at.is_none();
             let previous = self.outlier_at.get_or_insert(now);
             if sent_at <= *previous {
+                if newly {
+                    self.average_slowness(UNCONFIRMED_OUTLIER_RATIO);
+                }
                 return;
             }
             *previous = now;
         }
+        self.average_slowness(ratio);
+    }
+
+    fn average_slowness(&mut self, ratio: f64) {
         let weight = if ratio > self.slowness { SLOWER_WEIGHT } else { FASTER_WEIGHT };
         self.slowness += (ratio - self.slowness) * weight;
     }
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
+use super::budgets::usual_timeout::UsualTimeouts;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
@@ -92,6 +93,7 @@
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
     extra: Mutex<ExtraAttemptBudget>,
     split: Mutex<WeightedRoundRobin>,
+    usual_timeouts: Mutex<UsualTimeouts>,
     running: AtomicU32,
 }
 
@@ -135,6 +137,7 @@
             cold_rate_limiter: Mutex::default(),
             suspicion: Mutex::default(),
             split: Mutex::default(),
+            usual_timeouts: Mutex::default(),
             running: AtomicU32::new(0),
         }
     }
@@ -159,6 +162,11 @@
         self.split.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks and returns the timeouts that callers usually send.
+    pub fn usual_timeouts(&self) -> MutexGuard<'_, UsualTimeouts> {
+        self.usual_timeouts.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the index of a failure domain in the sorted list of all domains.
     pub fn domain_index(&self, domain: &str) -> DomainIndex {
         self.domains.get(domain).copied().unwrap_or(DomainIndex::MAX)
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -110,22 +110,26 @@
     began_at: Monotonic,
 ) -> Job {
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
-    // When the caller retries, part of its time is already used.
-    let used = request.timeout.map_or(Duration::ZERO, |left| route.timeout.saturating_sub(left));
+    let used = |left| tier.usual_timeouts().used(&route.id, left);
+    let used = request.timeout.map_or(Duration::ZERO, used);
     let target = route.latency_target;
     let target_left = if used < target { target - used } else { target };
     let typical = tier.passive_health().typical(&route.id, target);
     Job {
         call: request.call,
         deadline: began_at + timeout.saturating_sub(DEADLINE_MARGIN.min(timeout / 4)),
-        soft_deadline: began_at
-            + target_left.saturating_sub(REPLY_MARGIN + target.mul_f64(REPLY_MARGIN_SHARE)),
+        soft_deadline: began_at + target_left.saturating_sub(reply_margin(target)),
         typical,
         baseline: Baseline::default(),
         route,
     }
 }
 
+/// Returns how long before the latency target the answer is sent.
+fn reply_margin(target: Duration) -> Duration {
+    REPLY_MARGIN + target.mul_f64(REPLY_MARGIN_SHARE)
+}
+
 fn log<B: BackendProtocol>(
     tier: &Tier<B>,
     job: &Job,
@@ -140,15 +144,18 @@
         Outcome::Unknown(_) => "unknown",
     };
     tier.metrics.request(&job.route.id, name, took.as_secs_f64() * 1e3);
+    // The time until the latency target, which counts from the moment the caller began to connect.
+    let allowed =
+        job.soft_deadline.saturating_sub(began_at) + reply_margin(job.route.latency_target);
     let why = match outcome {
-        Outcome::Answered(_) if took <= job.route.latency_target => return,
+        Outcome::Answered(_) if took <= allowed => return,
         Outcome::Answered(_) => "late".into(),
         Outcome::NotRun(reason) => smol_str::format_smolstr!("{reason}"),
         Outcome::Unknown(reason) => smol_str::format_smolstr!("{reason}"),
     };
     tracing::info!(
         request = %job.call.request_id, route = %job.route.id, outcome = name, why = %why,
-        took_ms = millis(took), version, servers_revision = tier.servers.load().revision,
+        took_ms = millis(took), allowed_ms = millis(allowed), version, servers_revision = tier.servers.load().revision,
         "request ended"
     );
 }
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -152,10 +152,8 @@
         attempts: u32,
     ) -> Next {
         self.running = self.running.saturating_sub(1);
-        let declined = matches!(
-            failure,
-            Outcome::NotRun(NotRunReason::NotOwner | NotRunReason::VersionGone)
-        );
+        let declined =
+            matches!(failure, Outcome::NotRun(NotRunReason::NotOwner | NotRunReason::VersionGone));
         if declined {
             // A relay that declined may be called again, with `insists` set.
             self.excluded.retain(|excluded| excluded != server);
