Return extra attempts that reach no server to the budget

Cause: an extra attempt that a relay declined, or whose server could not be connected to, was taken out of the budget although no server saw it. While servers shed, the budget ran out and shards stayed without a second attempt.

--- a/src/process/budgets/extra_attempt_budget.rs
+++ b/src/process/budgets/extra_attempt_budget.rs
@@ -76,6 +76,15 @@
         granted
     }
 
+    /// Returns one extra attempt to the budget of a service, because it reached no server.
+    pub fn refund(&mut self, now: Monotonic, service: &ServiceId) {
+        self.bucket(now, service);
+        let buckets = self.services.get_mut(service).expect("it was inserted above");
+        if let Some(bucket) = buckets.iter_mut().rev().find(|bucket| bucket.extra > 0) {
+            bucket.extra -= 1;
+        }
+    }
+
     fn bucket(&mut self, now: Monotonic, service: &ServiceId) -> &mut Bucket {
         let length = self.limit.window / WINDOW_BUCKETS;
         let number = (now.as_nanos() / length.as_nanos().max(1)) as u64;
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -354,6 +354,9 @@
         if run.is_answered() {
             return None;
         }
+        if run.refund_due(server, &failure) {
+            self.tier.extra().refund(self.tier.now(), &self.shards[shard]);
+        }
         match run.on_failure(self.tier.now(), server, failure, self.job.route.attempts) {
             Next::Retry => self.start(shard, Purpose::Needed),
             Next::Wait => None,
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -33,6 +33,8 @@
 pub struct ShardRun {
     /// Servers that may have received the request.
     reached: SmallVec<[ServerId; 2]>,
+    /// Servers with an attempt that was taken out of the budget of extra attempts.
+    extra: SmallVec<[ServerId; 2]>,
     /// Servers excluded from the next attempt.
     excluded: SmallVec<[ServerId; 2]>,
     running: u32,
@@ -105,6 +107,9 @@
             self.reached.push(server.clone());
         }
         self.excluded.push(server.clone());
+        if self.is_extra() {
+            self.extra.push(server.clone());
+        }
         self.running += 1;
         self.send_count += 1;
         self.delivered += 1;
@@ -143,6 +148,15 @@
         self.next_check_at = None;
     }
 
+    /// Tells whether a failed attempt was taken out of the budget of extra attempts and did not
+    /// reach its server, so that the budget is owed a refund. Must be called before
+    /// [`Self::on_failure`].
+    pub fn refund_due(&mut self, server: &ServerId, failure: &Outcome<()>) -> bool {
+        let Some(at) = self.extra.iter().position(|extra| extra == server) else { return false };
+        self.extra.swap_remove(at);
+        did_not_reach_server(failure)
+    }
+
     /// Records a failed attempt and decides what to do next.
     pub fn on_failure(
         &mut self,
@@ -159,14 +173,8 @@
             self.excluded.retain(|excluded| excluded != server);
         }
         match &failure {
-            Outcome::NotRun(
-                NotRunReason::Unreachable
-                | NotRunReason::NotOwner
-                | NotRunReason::NoPermission
-                | NotRunReason::VersionGone
-                | NotRunReason::Overloaded,
-            ) => {
-                // The request did not reach the server, so another server may take its place.
+            failure if did_not_reach_server(failure) => {
+                // Another server may take its place.
                 self.reached.retain(|reached| reached != server);
                 self.delivered = self.delivered.saturating_sub(1);
             }
@@ -216,5 +224,18 @@
     }
 }
 
+const fn did_not_reach_server(failure: &Outcome<()>) -> bool {
+    matches!(
+        failure,
+        Outcome::NotRun(
+            NotRunReason::Unreachable
+                | NotRunReason::NotOwner
+                | NotRunReason::NoPermission
+                | NotRunReason::VersionGone
+                | NotRunReason::Overloaded
+        )
+    )
+}
+
 #[cfg(test)]
 mod tests;
