Open one connection to a server of another domain while the fleet is unknown

Cause: after a power loss of all hosts, each host knew no other one at first, sent to the servers of other domains directly and opened slots + 1 connections to each. Servers still counted the connections that the power loss had left, and reset what exceeded their limit.

Change: in its first two seconds a host opens one connection to a server of another failure domain.

--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -30,6 +30,10 @@
 /// The passive health of a server is dropped when it has not been used for this long.
 const FORGET_SERVERS_AFTER: Duration = Duration::from_secs(60);
 
+/// A host that started less than this ago may not know yet who else shares its servers: after a power
+/// loss, hosts return one after another, and servers still count the connections that were lost.
+const FLEET_DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// The settings that a host is started with.
 #[derive(Debug, Clone)]
 pub struct TierSettings {
@@ -229,7 +233,8 @@
             same_domain_hosts: fleet.known_hosts_in(domain),
             hosts: fleet.known_hosts,
         };
-        plan.connection_share(&server.service, server.slots, sharers)
+        let share = plan.connection_share(&server.service, server.slots, sharers);
+        if !sharers.same_domain && self.now() < FLEET_DISCOVERY_TIME { 1 } else { share }
     }
 
     /// Returns whether this host sends to a server directly instead of through a relay.
