Don't use failure domains that can't be reached, and send callers elsewhere

Cause: with a path cut in one direction, the hosts of the cut domain heard all others and went on relaying to them. Each request waited until shortly before its deadline and ended with 504, 125 of about 250 in five seconds, while hosts of other domains reached every shard. Ruled out: a detour over a third domain, since nothing left the cut domain at all.

Change: a domain in which two hosts or servers are silent and nothing has answered since is not used for 0.4 to 1.6 s, then tried with the next request. Requests that wait for a relay there stop waiting. A request whose floor is out of reach is refused at once, with a retry_after of some milliseconds; the host lists others in its directory and announces that it takes neither callers nor relayed requests.

The slowness of a server ignores everything that one pause delayed, also what took less than an outlier.

--- a/src/process/budgets/extra_attempt_budget/tests.rs
+++ b/src/process/budgets/extra_attempt_budget/tests.rs
@@ -45,3 +45,21 @@
         }
     }
 }
+
+#[test]
+fn refunded_attempts_can_be_spent_again() {
+    let service = ServiceId::from("s");
+    let mut budget = ExtraAttemptBudget::new(LIMIT);
+    let spend_all = |budget: &mut ExtraAttemptBudget, now| {
+        (0..100).filter(|_| budget.try_spend(now, &service, 1)).count()
+    };
+    let now = LIMIT.window * 3;
+    assert_eq!(spend_all(&mut budget, now), 50);
+    let later = now + Duration::from_millis(1_500);
+    for _ in 0..3 {
+        budget.refund(later, &service);
+    }
+    assert_eq!(spend_all(&mut budget, later), 3);
+    budget.refund(later, &"another".into());
+    assert_eq!(spend_all(&mut budget, later), 0);
+}
--- a/src/process/membership/directory.rs
+++ b/src/process/membership/directory.rs
@@ -51,7 +51,14 @@
         weight: tier.settings.weight,
     });
     let rotation = rand::random::<u16>().into();
-    choose(&tier.fleet.load(), me, location, rotation)
+    let fleet = tier.fleet.load();
+    if tier.is_cut_off() {
+        let elsewhere = choose(&fleet, None, location, rotation);
+        if !elsewhere.is_empty() {
+            return elsewhere;
+        }
+    }
+    choose(&fleet, me, location, rotation)
 }
 
 /// Returns the hosts of the caller's domain with a high weight. If these are too few, adds hosts of
--- a/src/process/servers/passive_health.rs
+++ b/src/process/servers/passive_health.rs
@@ -177,19 +177,14 @@
         usual: Duration,
     ) {
         let ratio = (took.as_secs_f64() / usual.as_secs_f64().max(1e-6)).clamp(0.2, 20.0);
-        if ratio < OUTLIER_RATIO {
-            self.outlier_at = None;
-        } else {
-            let newly = self.outlier_at.is_none();
-            let previous = self.outlier_at.get_or_insert(now);
-            if sent_at <= *previous {
-                if newly {
-                    self.average_slowness(UNCONFIRMED_OUTLIER_RATIO);
-                }
-                return;
-            }
-            *previous = now;
+        let of_same_pause = self.outlier_at.is_some_and(|outlier_at| sent_at <= outlier_at);
+        if of_same_pause && ratio > self.slowness {
+            return;
         }
+        let confirmed = self.outlier_at.is_some();
+        let is_outlier = ratio >= OUTLIER_RATIO;
+        self.outlier_at = is_outlier.then_some(now);
+        let ratio = if is_outlier && !confirmed { UNCONFIRMED_OUTLIER_RATIO } else { ratio };
         self.average_slowness(ratio);
     }
 
--- a/src/process/servers/passive_health/tests.rs
+++ b/src/process/servers/passive_health/tests.rs
@@ -26,6 +26,61 @@
     assert!(!tracker.health(at(100), &server, 2, TYPICAL).stalled, "no attempt is pending");
 }
 
+#[test]
+fn pause_is_told_from_slowness() {
+    struct Case {
+        name: &'static str,
+        /// When each request was sent and when its reply arrived, in milliseconds.
+        replies: Vec<(u64, u64)>,
+        slowness: std::ops::Range<f64>,
+    }
+    let cases = [
+        Case { name: "usual replies", replies: vec![(0, 10), (20, 30)], slowness: 0.9..1.1 },
+        Case {
+            name: "one pause delays many requests",
+            replies: vec![(0, 250), (10, 252), (60, 254), (200, 258), (240, 260)],
+            slowness: 1.1..1.3,
+        },
+        Case {
+            name: "pauses between usual replies",
+            replies: vec![(0, 250), (260, 270), (300, 500), (510, 520)],
+            slowness: 1.0..1.5,
+        },
+        Case {
+            name: "slow in two requests one after the other",
+            replies: vec![(0, 90), (100, 190)],
+            slowness: 3.5..9.0,
+        },
+        Case {
+            name: "slow in many requests at a time",
+            replies: vec![(0, 90), (50, 140), (100, 190), (150, 240)],
+            slowness: 3.5..9.0,
+        },
+    ];
+    for case in cases {
+        let server = ServerId::from("a");
+        let mut tracker = PassiveHealth::default();
+        let mut events: Vec<(u64, usize, bool)> = Vec::new();
+        for (n, (sent, received)) in case.replies.iter().enumerate() {
+            events.extend([(*sent, n, true), (*received, n, false)]);
+        }
+        events.sort_unstable();
+        let mut tickets = vec![0; case.replies.len()];
+        for (ms, n, is_sent) in events {
+            if is_sent {
+                tickets[n] = tracker.on_sent(at(ms), &server, TYPICAL);
+            } else {
+                let took = Duration::from_millis(ms - case.replies[n].0);
+                let end = AttemptEnd::Answered(took);
+                tracker.on_end(at(ms), &server, tickets[n], Some(TYPICAL), end);
+            }
+        }
+        let last = case.replies.iter().map(|reply| reply.1).max().unwrap_or(0);
+        let slowness = tracker.slowness(at(last), &server).unwrap_or(0.0);
+        assert!(case.slowness.contains(&slowness), "{}: {slowness}", case.name);
+    }
+}
+
 #[test]
 fn failed_or_slow_attempts_raise_estimates_which_decay() {
     struct Case {
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
 use super::budgets::usual_timeout::UsualTimeouts;
+use super::membership::domain_paths::DomainPaths;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
@@ -23,9 +25,9 @@
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
-use crate::ids::{ConfigVersion, DomainId, RegionId, Revision};
+use crate::ids::{ConfigVersion, DomainId, RegionId, Revision, ServiceId};
 use crate::process::membership::suspicion::Suspicion;
-use crate::version::plan::{ConnectionSharers, Plan, Route};
+use crate::version::plan::{ConnectionSharers, Plan, Route, Target};
 
 /// The passive health of a server is dropped when it has not been used for this long.
 const FORGET_SERVERS_AFTER: Duration = Duration::from_secs(60);
@@ -95,6 +97,7 @@
     passive_health: Mutex<PassiveHealth>,
     cold_rate_limiter: Mutex<ColdRateLimiter>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
+    paths: Mutex<DomainPaths>,
     extra: Mutex<ExtraAttemptBudget>,
     split: Mutex<WeightedRoundRobin>,
     usual_timeouts: Mutex<UsualTimeouts>,
@@ -140,6 +143,7 @@
             passive_health: Mutex::default(),
             cold_rate_limiter: Mutex::default(),
             suspicion: Mutex::default(),
+            paths: Mutex::default(),
             split: Mutex::default(),
             usual_timeouts: Mutex::default(),
             running: AtomicU32::new(0),
@@ -277,6 +281,68 @@
         } else {
             self.peers.close(host);
         }
+        let fleet = self.fleet.load();
+        if let Some(heartbeat) = fleet.up.iter().find(|heartbeat| heartbeat.ip == host) {
+            self.on_domain_silent(heartbeat.domain, &host.to_string(), sent_at);
+        }
+    }
+
+    /// Handles a message from a host in answer to a call.
+    pub fn on_host_answered(&self, host: Ipv4Addr) {
+        self.suspicion().on_message(self.now(), &host);
+        let fleet = self.fleet.load();
+        if let Some(heartbeat) = fleet.up.iter().find(|heartbeat| heartbeat.ip == host) {
+            self.on_domain_answered(heartbeat.domain);
+        }
+    }
+
+    /// Records that a host or server in a failure domain has not answered what was sent to it.
+    pub fn on_domain_silent(&self, domain: DomainIndex, peer: &str, sent_at: Monotonic) {
+        if domain == self.domain_index(&self.settings.domain) {
+            return;
+        }
+        if self.paths().on_silence(self.now(), domain, peer, sent_at) {
+            tracing::info!(domain, peer, "failure domain is not reachable from here");
+        }
+    }
+
+    /// Records an answer of a host or server in a failure domain.
+    pub fn on_domain_answered(&self, domain: DomainIndex) {
+        if self.paths().on_answer(self.now(), domain) {
+            tracing::info!(domain, "failure domain is reachable again");
+        }
+    }
+
+    /// Returns the failure domains that this host can't reach at present.
+    pub fn unreachable_domains(&self) -> SmallVec<[DomainIndex; 4]> {
+        self.paths().unreachable(self.now())
+    }
+
+    /// Returns whether this host can't reach enough servers for some route, although the servers are
+    /// in service: callers are better served by another host.
+    pub fn is_cut_off(&self) -> bool {
+        let paths = self.paths();
+        if !paths.has_unreachable() {
+            return false;
+        }
+        let servers = self.servers.load();
+        let reachable =
+            |server: &Arc<LiveServer>| !paths.is_doubtful(self.domain_index(&server.record.domain));
+        let is_lost = |shard: &&ServiceId| {
+            let all = servers.of(shard);
+            !all.is_empty() && !all.iter().any(reachable)
+        };
+        self.plan.load().routes().any(|route| match &route.target {
+            Target::Gather(rule) => {
+                let lost = rule.shards.iter().filter(is_lost).count();
+                rule.shards.len() - lost < rule.parts_needed()
+            }
+            Target::Service(_) | Target::Split(_) => false,
+        })
+    }
+
+    fn paths(&self) -> MutexGuard<'_, DomainPaths> {
+        self.paths.lock().expect("no holder of the lock panics")
     }
 
     /// Takes the receiver of facts that other hosts send; returns `None` after the first call.
@@ -341,9 +407,10 @@
             && !self.leaving.is_cancelled()
     }
 
-    /// Returns the lifecycle phase of this host.
+    /// Returns the lifecycle phase that this host announces. A host that is cut off is announced as
+    /// starting, so that neither callers nor relayed requests are directed to it.
     pub fn phase(&self) -> Phase {
-        match (self.leaving.is_cancelled(), self.is_ready()) {
+        match (self.leaving.is_cancelled(), self.is_ready() && !self.is_cut_off()) {
             (true, _) => Phase::Leaving,
             (false, true) => Phase::Ready,
             (false, false) => Phase::Starting,
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -91,6 +91,7 @@
     tried: impl Fn(&ServerId) -> bool,
 ) -> SmallVec<[Candidate; 4]> {
     let now = tier.now();
+    let unreachable = tier.unreachable_domains();
     let passive_health = tier.passive_health();
     let candidate = |server: &Arc<LiveServer>| {
         let record = &server.record;
@@ -103,6 +104,7 @@
             blocked: health.replaced
                 || !room
                 || !tier.route_allows_domain(&job.route, &record.domain)
+                || unreachable.contains(&tier.domain_index(&record.domain))
                 || !tier.has_cold_token(server),
         }
     };
@@ -222,6 +224,9 @@
             return Outcome::NotRun(NotRunReason::NoPermission);
         }
         let exchanged = link.exchange(&job.call, id, left).await;
+        if !matches!(exchanged, ExchangeResult::Unsent | ExchangeResult::Lost(_)) {
+            tier.on_domain_answered(tier.domain_index(&record.domain));
+        }
         if let Some(may_idle) = link.keep_alive_time() {
             slot.return_to_pool(tier.now(), link, began_at, may_idle);
         }
@@ -267,7 +272,8 @@
     let Some(slot) = tier.pool.reserve(&record.id, tier.connection_share(record)) else {
         return Err(NotRunReason::Overloaded);
     };
-    let left = job.deadline.saturating_sub(tier.now()).min(CONNECT_TIMEOUT);
+    let began_at = tier.now();
+    let left = job.deadline.saturating_sub(began_at).min(CONNECT_TIMEOUT);
     match tokio::time::timeout(left, tier.backend.connect(record.addr)).await {
         Ok(Ok(link)) => Ok((link, slot)),
         Ok(Err(error)) => {
@@ -276,7 +282,10 @@
             );
             Err(NotRunReason::Unreachable)
         }
-        Err(_) => Err(NotRunReason::Unreachable),
+        Err(_) => {
+            tier.on_domain_silent(tier.domain_index(&record.domain), &record.id, began_at);
+            Err(NotRunReason::Unreachable)
+        }
     }
 }
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -64,14 +64,31 @@
     pub(super) sent_at: Monotonic,
     pub(super) responded: bool,
     pub(super) suspected: bool,
+    /// The calling host no longer waits for the relay; parts that arrive all the same are used.
+    pub(super) given_up: bool,
+    /// The failure domain of the relay.
+    pub(super) domain: DomainIndex,
     /// Shards that the relay has not reported yet, with their intended servers.
     pub(super) pending: SmallVec<[(usize, ServerId); 16]>,
 }
 
 impl RelayGroup {
-    pub(super) fn new(host: Ipv4Addr, sent_at: Monotonic, sends: Vec<PlannedAttempt>) -> Self {
+    pub(super) fn new(
+        host: Ipv4Addr,
+        domain: DomainIndex,
+        sent_at: Monotonic,
+        sends: Vec<PlannedAttempt>,
+    ) -> Self {
         let pending = sends.into_iter().map(|send| (send.shard, send.server.record.id.clone()));
-        Self { host, sent_at, responded: false, suspected: false, pending: pending.collect() }
+        Self {
+            host,
+            sent_at,
+            responded: false,
+            suspected: false,
+            given_up: false,
+            domain,
+            pending: pending.collect(),
+        }
     }
 
     /// Marks a shard as reported by the relay. Returns its intended server, or `None` if the shard
@@ -113,6 +130,7 @@
     }
     let now = tier.now();
     let servers = tier.servers.load();
+    let unreachable = tier.unreachable_domains();
     let passive_health = tier.passive_health();
     let eligible_servers = |send: &PlannedAttempt| -> EligibleServers {
         let with_health = |server: &Arc<LiveServer>| {
@@ -126,6 +144,7 @@
             health.is_eligible()
                 && !tier.sends_directly(&server.record)
                 && tier.route_allows_domain(&job.route, domain)
+                && !unreachable.contains(&tier.domain_index(domain))
         })
         .collect()
     };
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -27,7 +27,9 @@
 /// The minimum `retry_after` when servers are unknown or lost: lost servers are replaced, and
 /// registry entries restored, within about two seconds.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(600);
-/// Random time added to either, so that callers do not retry together.
+/// The minimum `retry_after` of a host that can't reach the servers, while other hosts may.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(5);
+/// Random time added to the latter two, so that callers do not retry together.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(300);
 
 /// A caller's request.
@@ -60,6 +62,11 @@
 }
 
 impl Served {
+    /// Returns the outcome for a caller that another host may serve at once.
+    fn elsewhere(outcome: Outcome<Answer>) -> Self {
+        Self { outcome, retry_after: CUT_OFF_RETRY_AFTER.mul_f64(1.0 + rand::random::<f64>()) }
+    }
+
     fn of(outcome: Outcome<Answer>) -> Self {
         let least = match outcome {
             Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::NotReady) => {
@@ -100,6 +107,9 @@
         Target::Gather(rule) => scatter(tier, &job, rule, plan.version).await.map(Answer::Gathered),
     };
     log(tier, &job, &outcome, began_at, plan.version);
+    if matches!(outcome, Outcome::NotRun(NotRunReason::Unreachable)) && tier.is_cut_off() {
+        return Served::elsewhere(outcome);
+    }
     Served::of(outcome)
 }
 
--- a/src/request/parts.rs
+++ b/src/request/parts.rs
@@ -31,12 +31,14 @@
         self.covered
     }
 
-    /// Adds parts received together, unless one of their signatures is already present.
+    /// Adds parts received together, unless one of their signatures is already present or a shard
+    /// occurs twice among them.
     pub fn add(&mut self, parts: impl IntoIterator<Item = (usize, Signature)>, records: Bytes) {
         let (shards, signatures): (SmallVec<[usize; 8]>, SmallVec<[Signature; 8]>) =
             parts.into_iter().unzip();
         let known = |signature| self.bundles.iter().any(|b| b.signatures.contains(signature));
-        if shards.is_empty() || signatures.iter().any(known) {
+        let repeated = (1..shards.len()).any(|n| shards[..n].contains(&shards[n]));
+        if shards.is_empty() || repeated || signatures.iter().any(known) {
             return;
         }
         let disjoint = self.is_disjoint(&shards);
--- a/src/request/parts/tests.rs
+++ b/src/request/parts/tests.rs
@@ -33,6 +33,11 @@
             bundles: vec![("a", vec![1, 2]), ("b", vec![2])],
             covered: vec![2, 1],
         },
+        Case {
+            name: "bundle with one shard twice",
+            bundles: vec![("a", vec![1, 2]), ("b", vec![3, 3])],
+            covered: vec![2, 1],
+        },
         Case {
             name: "duplicate bundle",
             bundles: vec![("a", vec![1, 2]), ("a", vec![1, 2])],
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -145,8 +145,11 @@
     /// Returns the number of shards with at least one server that may receive the request.
     fn reachable(&self) -> usize {
         let servers = self.tier.servers.load();
+        let unreachable = self.tier.unreachable_domains();
         let fit = |server: &Arc<LiveServer>| {
-            self.tier.route_allows_domain(&self.job.route, &server.record.domain)
+            let domain = &server.record.domain;
+            self.tier.route_allows_domain(&self.job.route, domain)
+                && !unreachable.contains(&self.tier.domain_index(domain))
         };
         self.shards.iter().filter(|shard| servers.of(shard).iter().any(fit)).count()
     }
@@ -165,9 +168,11 @@
         let now = self.tier.now();
         let due = |n: &usize| self.runs[*n].next_check_at().is_some_and(|at| at <= now);
         let due: SmallVec<[usize; 8]> = (0..self.runs.len()).filter(due).collect();
-        self.suspect_silent_relays(now);
-        let mut sends = Vec::new();
+        let mut sends = self.suspect_silent_relays(now);
         for shard in due {
+            if sends.iter().any(|send| send.shard == shard) {
+                continue;
+            }
             let running = self.runs[shard].is_running();
             if running {
                 self.record_overdue(now, shard);
@@ -189,15 +194,29 @@
         }
     }
 
-    fn suspect_silent_relays(&mut self, now: Monotonic) {
+    /// Suspects relays that have returned nothing in time. If their whole failure domain can't be
+    /// reached, no longer waits for them and returns further attempts.
+    fn suspect_silent_relays(&mut self, now: Monotonic) -> Vec<PlannedAttempt> {
         let baseline = self.job.baseline.get().unwrap_or(self.job.typical);
         let silence = RELAY_SILENCE_TIMEOUT.max(baseline * 3);
+        let unreachable = self.tier.unreachable_domains();
+        let mut lost: SmallVec<[(usize, ServerId); 16]> = SmallVec::new();
         for group in &mut self.groups {
-            if !group.responded && !group.suspected && now >= group.sent_at + silence {
+            if group.responded || now < group.sent_at + silence {
+                continue;
+            }
+            if !group.suspected {
                 group.suspected = true;
                 self.tier.on_host_overdue(group.host, group.sent_at);
             }
+            if !group.given_up && unreachable.contains(&group.domain) {
+                group.given_up = true;
+                lost.extend(group.pending.iter().cloned());
+            }
         }
+        let timed_out = Outcome::Unknown(UnknownReason::TimedOut);
+        let failed = |(shard, server)| self.on_failure(shard, &server, timed_out.clone());
+        lost.into_iter().filter_map(failed).collect()
     }
 
     /// Chooses a server for the next attempt at a shard. Returns `None` if there is none, or if the
@@ -259,7 +278,7 @@
                 self.record_sent(now, send, true);
             }
             let group = self.groups.len();
-            self.groups.push(RelayGroup::new(call.host, now, sends));
+            self.groups.push(RelayGroup::new(call.host, domain, now, sends));
             in_flight.push(InFlight::Relay { group, call });
         }
         for send in near {
@@ -303,7 +322,7 @@
                 (self.on_direct(shard, &server, outcome).into_iter().collect(), None)
             }
             Event::Relayed(group, mut call, Some(parts)) => {
-                self.tier.suspicion().on_message(self.tier.now(), &call.host);
+                self.tier.on_host_answered(call.host);
                 let sends = self.on_parts(group, parts);
                 if self.groups[group].pending.is_empty() {
                     call.done();
--- a/src/request/shard_run/tests.rs
+++ b/src/request/shard_run/tests.rs
@@ -111,3 +111,67 @@
         assert!(!run.may_have_run() && run.may_send(ATTEMPTS) && !run.is_extra());
     }
 }
+
+#[test]
+fn declined_hedge_is_sent_again_at_once() {
+    struct Case {
+        reason: NotRunReason,
+        sent_again: bool,
+    }
+    let cases = [
+        Case { reason: NotRunReason::NotOwner, sent_again: true },
+        Case { reason: NotRunReason::Overloaded, sent_again: false },
+        Case { reason: NotRunReason::Shed, sent_again: false },
+    ];
+    for case in cases {
+        let mut run = ShardRun::default();
+        let (paused, declined) = (ServerId::from("a"), ServerId::from("b"));
+        run.on_sent(&paused, NOW);
+        run.on_sent(&declined, NOW + Duration::from_millis(30));
+        let now = NOW + Duration::from_millis(4);
+        let next = run.on_failure(now, &declined, Outcome::NotRun(case.reason), ATTEMPTS);
+        assert_eq!(next, Next::Wait, "{:?}: an attempt is in flight", case.reason);
+        let sent_again = run.next_check_at() == Some(now) && run.allows(&declined, ATTEMPTS);
+        assert_eq!(sent_again, case.sent_again, "{:?}", case.reason);
+        assert!(!run.allows(&paused, ATTEMPTS), "{:?}", case.reason);
+    }
+}
+
+#[test]
+fn extra_attempt_is_refunded_once_if_it_reached_no_server() {
+    struct Case {
+        name: &'static str,
+        failure: Outcome<()>,
+        refunds: [bool; 3],
+    }
+    let cases = [
+        Case {
+            name: "declined",
+            failure: Outcome::NotRun(NotRunReason::NotOwner),
+            refunds: [false, true, false],
+        },
+        Case {
+            name: "not connected",
+            failure: Outcome::NotRun(NotRunReason::Unreachable),
+            refunds: [false, true, false],
+        },
+        Case {
+            name: "shed",
+            failure: Outcome::NotRun(NotRunReason::Shed),
+            refunds: [false, false, false],
+        },
+        Case {
+            name: "lost",
+            failure: Outcome::Unknown(UnknownReason::ConnectionLost),
+            refunds: [false, false, false],
+        },
+    ];
+    for case in cases {
+        let mut run = ShardRun::default();
+        let (first, extra) = (ServerId::from("a"), ServerId::from("b"));
+        run.on_sent(&first, NOW);
+        run.on_sent(&extra, NOW);
+        let refunds = [&first, &extra, &extra].map(|server| run.refund_due(server, &case.failure));
+        assert_eq!(refunds, case.refunds, "{}", case.name);
+    }
+}
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -47,6 +47,8 @@
     Replaced,
     /// It refuses connections.
     Unreachable,
+    /// Nothing reaches it: connections are neither accepted nor refused.
+    CutOff,
     /// It drops idle connections without notice: a request on a reused connection gets a reset and
     /// does not run.
     DropsIdleConnections,
@@ -110,8 +112,10 @@
     type Link = FakeLink;
 
     async fn connect(&self, addr: SocketAddr) -> io::Result<FakeLink> {
-        if self.behaviour(addr).0 == Mode::Unreachable {
-            return Err(io::ErrorKind::ConnectionRefused.into());
+        match self.behaviour(addr).0 {
+            Mode::Unreachable => return Err(io::ErrorKind::ConnectionRefused.into()),
+            Mode::CutOff => std::future::pending().await,
+            _ => {}
         }
         self.stats().connections += 1;
         Ok(FakeLink { servers: self.clone(), addr, used: false, reusable: true })
@@ -146,6 +150,7 @@
             Mode::DropsIdleConnections if reused => {
                 return ExchangeResult::Lost(UnknownReason::ConnectionLost);
             }
+            Mode::CutOff => std::future::pending().await,
             Mode::Answers
             | Mode::NeverReplies
             | Mode::AbortsConnection
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -8,6 +8,8 @@
 mod fact_exchange;
 mod fake;
 mod home_regions;
+mod one_way_cut_between_domains;
+mod pausing_servers;
 mod platform_outages;
 mod relay_failures;
 mod retries;
