Check a shard without a usable server every 40 ms instead of 20

Cause: while all servers of a shard are down, full or declined, each check sends two frames to other domains and gets two refusals.

--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -12,7 +12,7 @@
 /// Backoff before a request is sent again to servers that have all shed it.
 const SHED_BACKOFF: Duration = Duration::from_millis(40);
 /// Interval between checks of a shard without a usable server.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Sends after which even a declined attempt is retried only after a delay.
 const MAX_IMMEDIATE_SENDS: u32 = 3;
 /// The maximum number of times that servers may refuse one request. Refusals by relays, and
