--- a/src/process/membership/domain_paths.rs
+++ b/src/process/membership/domain_paths.rs
@@ -40,6 +40,12 @@
     }
 }
 
+impl Path {
+    fn is_doubtful(&self) -> bool {
+        self.unreachable_until > Monotonic::ZERO
+    }
+}
+
 /// The paths from this host to the failure domains.
 #[derive(Debug, Default)]
 pub struct DomainPaths {
@@ -51,9 +57,9 @@
     /// unreachable before.
     pub fn on_answer(&mut self, now: Monotonic, domain: DomainIndex) -> bool {
         let path = self.paths.entry(domain).or_default();
-        let was_unreachable = path.unreachable_until > Monotonic::ZERO;
+        let was_doubtful = path.is_doubtful();
         *path = Path { answered_at: now, ..Path::default() };
-        was_unreachable
+        was_doubtful
     }
 
     /// Records that `peer`, a host or server in a domain, has not answered what was sent to it at
@@ -86,15 +92,15 @@
         self.paths.iter().filter(unreachable).map(|(domain, _)| *domain).collect()
     }
 
-    /// Returns whether any domain has been unreachable and has not answered since.
-    pub fn has_unreachable(&self) -> bool {
-        self.paths.values().any(|path| path.unreachable_until > Monotonic::ZERO)
+    /// Returns whether any domain is doubtful; see [`Self::is_doubtful`].
+    pub fn any_doubtful(&self) -> bool {
+        self.paths.values().any(Path::is_doubtful)
     }
 
-    /// Returns whether a domain has been unreachable and has not answered since, also while it is
-    /// tried again.
+    /// Returns whether a domain has been unreachable and has not answered since, also while the
+    /// next request tries it.
     pub fn is_doubtful(&self, domain: DomainIndex) -> bool {
-        self.paths.get(&domain).is_some_and(|path| path.unreachable_until > Monotonic::ZERO)
+        self.paths.get(&domain).is_some_and(Path::is_doubtful)
     }
 }
 
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -322,7 +322,7 @@
     /// in service: callers are better served by another host.
     pub fn is_cut_off(&self) -> bool {
         let paths = self.paths();
-        if !paths.has_unreachable() {
+        if !paths.any_doubtful() {
             return false;
         }
         let servers = self.servers.load();
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -165,7 +165,8 @@
     };
     tracing::info!(
         request = %job.call.request_id, route = %job.route.id, outcome = name, why = %why,
-        took_ms = millis(took), allowed_ms = millis(allowed), version, servers_revision = tier.servers.load().revision,
+        took_ms = millis(took), allowed_ms = millis(allowed), version,
+        servers_revision = tier.servers.load().revision,
         "request ended"
     );
 }
