Name the source's epoch, positions in its history and the order of plans

Types only, without a change of behaviour: revisions order changes within one history of the source, so a position needs the epoch as well. Not yet run on its own.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -27,6 +27,11 @@
 pub type Incarnation = u64;
 /// Identifies one attempt to run a request, or one shard of it, on a backend server.
 pub type AttemptId = u64;
-/// The number of a change to a data source that several hosts read; later changes have higher
-/// numbers.
+/// The number of a change to a data source that several hosts read; later changes of the same epoch
+/// have higher numbers.
 pub type Revision = u64;
+/// The number of one history of a data source's changes. It rises when the source is restored from
+/// an older state, after which it reuses revisions that it has given out before.
+pub type SourceEpoch = u64;
+/// How many times the versions of a source's plans have started over from a lower one.
+pub type PlanSeries = u64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod outcome;
 pub(crate) mod peer_server;
 pub mod policy;
+pub mod position;
 pub mod process;
 pub mod report;
 pub mod request;
