Add a failing test of a source whose revisions are given out again

Callers were refused on routes of confirmed plans, and requests reached servers that had said they were leaving, after the platform had returned with an older state. The test models such a source: it is restored from a copy, and reuses the revisions that it has lost.

--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -12,6 +12,7 @@
 mod pausing_servers;
 mod platform_outages;
 mod relay_failures;
+mod restored_source;
 mod retries;
 mod reused_addresses;
 mod servers_out_of_service;
