Append the source's epochs to gossip, pulls and facts

Cause: revisions order facts only within one epoch of the source, and hosts do not tell each other which epoch theirs belong to. Builds without epochs are in the fleet during an upgrade, and messages are not self-describing, so no existing message may change its layout.

Change: the epochs are fields that the base message skips, and an extension after it carries them. Gossip lists only the heartbeats whose epochs differ from the sender's. Facts also say whether they are the complete state, and what is withheld because of an earlier epoch. A heartbeat that a host of an older build forwards keeps the epochs known of the same incarnation. All hosts announce epoch 0 as yet, pulls and facts have no extension as yet, and nothing compares epochs.

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -8,6 +8,7 @@
 use hyper::body::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use smol_str::{SmolStr, ToSmolStr};
@@ -16,7 +17,9 @@
 use super::exchange::{Call, Signature};
 use crate::ids::{ConfigVersion, RequestId, Revision, ServerId};
 use crate::outcome::Outcome;
+use crate::position::Epochs;
 use crate::process::servers::registry::Change;
+use crate::process::servers::withheld::Withheld;
 use crate::version::plan::{PlanDocument, RouteId};
 
 /// The maximum frame size in bytes; it must fit the merged records of a relay's parts and a
@@ -50,6 +53,10 @@
     pub revision: Revision,
     /// The version of the host's plan.
     pub version: ConfigVersion,
+    /// The epochs of the revision and the version, or `None` if the host runs a build that does not
+    /// announce them. [`encode`] appends them to the frame.
+    #[serde(skip)]
+    pub epochs: Option<Epochs>,
 }
 
 /// Facts of the platform, as hosts distribute them.
@@ -65,6 +72,21 @@
     pub plan: Option<PlanDocument>,
     /// The time since the platform recovered, if entries may still be in their grace period after it.
     pub returned_ms_ago: Option<u32>,
+    /// What orders the facts across epochs, or `None` if the host runs a build without epochs.
+    /// [`encode`] appends it to the frame.
+    #[serde(skip)]
+    pub extension: Option<FactsExtension>,
+}
+
+/// The part of [`Facts`] that builds without epochs ignore.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FactsExtension {
+    /// The epoch of `up_to` and the series of `plan`.
+    pub epochs: Epochs,
+    /// Whether `changes` are the complete state, rather than the changes after `after`.
+    pub whole: bool,
+    /// The servers and failure domains that get no requests because of facts of earlier epochs.
+    pub withheld: Vec<Withheld>,
 }
 
 /// Asks a host to relay a request to servers of some shards in its failure domain.
@@ -170,14 +192,35 @@
     codec.length_field_length(3).max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
-/// Encodes a frame.
+/// Encodes a frame, followed by its extension if it has one. Builds that don't know the extension
+/// ignore bytes after the frame.
 pub fn encode(frame: &Frame) -> Bytes {
-    Bytes::from(postcard::to_stdvec(frame).expect("plain data always serializes"))
+    let bytes = postcard::to_stdvec(frame);
+    let extended = bytes.and_then(|bytes| match frame {
+        Frame::Pull(Known { epochs: Some(epochs), .. }) => postcard::to_extend(epochs, bytes),
+        Frame::Facts(Facts { extension: Some(extension), .. }) => {
+            postcard::to_extend(extension, bytes)
+        }
+        Frame::Call(_) | Frame::Parts(_) | Frame::Cancel(_) | Frame::Pull(_) | Frame::Facts(_) => {
+            Ok(bytes)
+        }
+    });
+    Bytes::from(extended.expect("plain data always serializes"))
 }
 
-/// Decodes a frame; returns `None` if it is invalid.
+/// Decodes a frame; returns `None` if the frame or its extension is invalid.
 pub fn decode(bytes: &[u8]) -> Option<Frame> {
-    postcard::from_bytes(bytes).ok()
+    let (mut frame, rest) = postcard::take_from_bytes(bytes).ok()?;
+    match &mut frame {
+        Frame::Pull(known) => known.epochs = decode_extension(rest).ok()?,
+        Frame::Facts(facts) => facts.extension = decode_extension(rest).ok()?,
+        Frame::Call(_) | Frame::Parts(_) | Frame::Cancel(_) => {}
+    }
+    Some(frame)
+}
+
+fn decode_extension<T: DeserializeOwned>(rest: &[u8]) -> postcard::Result<Option<T>> {
+    if rest.is_empty() { Ok(None) } else { postcard::from_bytes(rest).map(Some) }
 }
 
 #[cfg(test)]
--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -88,6 +88,7 @@
         up_to,
         plan: lacks_plan.then(|| PlanDocument::clone(plan.document())),
         returned_ms_ago: returned.and_then(|ago| u32::try_from(millis(ago)).ok()),
+        extension: None,
     }
 }
 
@@ -129,5 +130,9 @@
 
 /// Returns the revision and the plan version that this host has.
 pub fn known_versions<B: BackendProtocol>(tier: &Tier<B>) -> Known {
-    Known { revision: tier.servers.load().revision, version: tier.plan.load().version }
+    Known {
+        revision: tier.servers.load().revision,
+        version: tier.plan.load().version,
+        epochs: None,
+    }
 }
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -9,6 +9,7 @@
 
 use super::members::{Gossip, SAME_DOMAIN_GOSSIP_INTERVAL};
 use crate::connection::exchange::BackendProtocol;
+use crate::position::Epochs;
 use crate::process::tier::Tier;
 
 /// Interval at which due messages are sent.
@@ -44,7 +45,7 @@
     bytes: &[u8],
     from: std::net::SocketAddr,
 ) {
-    let Ok(gossip) = postcard::from_bytes::<Gossip>(bytes) else {
+    let Some(gossip) = Gossip::decode(bytes) else {
         tracing::warn!(%from, length = bytes.len(), "discarded a datagram without valid gossip");
         return;
     };
@@ -63,6 +64,7 @@
         me.phase = tier.phase();
         me.revision = tier.servers.load().revision;
         me.version = tier.plan.load().version;
+        me.epochs = Some(own_epochs(tier));
         let messages = members.tick(now, &mut rand::rng());
         (messages, members.view(now))
     };
@@ -73,6 +75,11 @@
     }
 }
 
+/// Returns the epochs of this host's revision and plan version.
+fn own_epochs<B: BackendProtocol>(_tier: &Tier<B>) -> Epochs {
+    Epochs::default()
+}
+
 fn log_changes<B: BackendProtocol>(tier: &Tier<B>, view: &super::members::FleetView) {
     let before = tier.fleet.load();
     let has = |list: &[super::members::Heartbeat], ip| list.iter().any(|h| h.ip == ip);
@@ -90,9 +97,8 @@
     to: Ipv4Addr,
     gossip: &Gossip,
 ) {
-    let bytes = postcard::to_stdvec(gossip).expect("plain data always serializes");
     let to = SocketAddrV4::new(to, tier.settings.peer_port);
-    if let Err(error) = socket.send_to(&bytes, to).await {
+    if let Err(error) = socket.send_to(&gossip.encode(), to).await {
         tracing::debug!(%to, %error, "failed to send a gossip datagram");
     }
 }
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -15,6 +15,7 @@
 use crate::clock::Monotonic;
 use crate::derive::key;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
+use crate::position::{Epochs, PlanOrder, Position};
 
 /// Interval between gossip rounds to hosts of the same failure domain.
 pub const SAME_DOMAIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
@@ -78,9 +79,25 @@
     pub version: ConfigVersion,
     /// Whether the host can currently read from the platform.
     pub reads: bool,
+    /// Epochs of the revision and the version, or `None` if the host runs a build that does not
+    /// announce them. [`Gossip::encode`] appends them to the message.
+    #[serde(skip)]
+    pub epochs: Option<Epochs>,
 }
 
 impl Heartbeat {
+    /// Returns the point up to which the host knows the platform's facts, if it announces epochs.
+    pub fn position(&self) -> Option<Position> {
+        self.epochs.map(|epochs| Position { epoch: epochs.source, revision: self.revision })
+    }
+
+    /// Returns the place of the host's plan in the order of plans. A host that does not announce
+    /// epochs is in the first series.
+    pub fn plan_order(&self) -> PlanOrder {
+        let series = self.epochs.unwrap_or_default().plan_series;
+        PlanOrder { series, version: self.version }
+    }
+
     /// Returns the sort key that ranks hosts by descending weight, then by address.
     const fn rank_key(&self) -> (std::cmp::Reverse<u16>, Ipv4Addr) {
         (std::cmp::Reverse(self.weight), self.ip)
@@ -96,6 +113,51 @@
     pub wants_answer: bool,
 }
 
+/// The epochs of a message's heartbeats, which follow the message. Builds without epochs ignore
+/// bytes after the message.
+#[derive(Debug, Serialize, Deserialize)]
+struct GossipExtension {
+    /// The epochs of the first heartbeat, and of all others that are not listed.
+    sender: Option<Epochs>,
+    /// The indices of the heartbeats with other epochs.
+    differing: Vec<(u16, Option<Epochs>)>,
+}
+
+impl Gossip {
+    /// Encodes the message.
+    pub fn encode(&self) -> Vec<u8> {
+        let message = postcard::to_stdvec(self).expect("plain data always serializes");
+        if self.heartbeats.iter().all(|heartbeat| heartbeat.epochs.is_none()) {
+            return message;
+        }
+        let sender = self.heartbeats.first().and_then(|heartbeat| heartbeat.epochs);
+        // A datagram holds fewer heartbeats than there are indices.
+        let differing = (0..=u16::MAX)
+            .zip(&self.heartbeats)
+            .filter(|(_, heartbeat)| heartbeat.epochs != sender)
+            .map(|(index, heartbeat)| (index, heartbeat.epochs))
+            .collect();
+        postcard::to_extend(&GossipExtension { sender, differing }, message)
+            .expect("plain data always serializes")
+    }
+
+    /// Decodes a message; returns `None` if it is invalid.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (mut gossip, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        if rest.is_empty() {
+            return Some(gossip);
+        }
+        let extension: GossipExtension = postcard::from_bytes(rest).ok()?;
+        for heartbeat in &mut gossip.heartbeats {
+            heartbeat.epochs = extension.sender;
+        }
+        for (index, epochs) in extension.differing {
+            gossip.heartbeats.get_mut(usize::from(index))?.epochs = epochs;
+        }
+        Some(gossip)
+    }
+}
+
 /// Another host of the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Member {
@@ -247,7 +309,7 @@
     pub fn on_gossip(&mut self, now: Monotonic, gossip: Gossip) -> Option<(Ipv4Addr, Gossip)> {
         let from = gossip.heartbeats.first().map(|heartbeat| heartbeat.ip);
         let mut sender_is_stale = false;
-        for heartbeat in gossip.heartbeats {
+        for mut heartbeat in gossip.heartbeats {
             if heartbeat.ip == self.me.ip {
                 self.advance_own_incarnation(&heartbeat);
                 continue;
@@ -256,6 +318,10 @@
             let newer = known
                 .is_none_or(|known| (heartbeat.life, heartbeat.count) > (known.life, known.count));
             if newer {
+                // A host whose build has no epochs forwards heartbeats without them. The known ones
+                // of the same incarnation can only lag.
+                let same_life = known.filter(|known| known.life == heartbeat.life);
+                heartbeat.epochs = heartbeat.epochs.or(same_life.and_then(|known| known.epochs));
                 self.others.insert(heartbeat.ip, Member { heartbeat, received_at: now });
             } else if Some(heartbeat.ip) == from && known.is_some_and(|k| k.life >= heartbeat.life)
             {
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -24,6 +24,7 @@
         revision: 0,
         version: 0,
         reads: true,
+        epochs: None,
     }
 }
 
--- a/src/process/servers/mod.rs
+++ b/src/process/servers/mod.rs
@@ -11,3 +11,4 @@
 pub mod server_queue;
 pub mod split;
 pub mod warmth_estimate;
+pub mod withheld;
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -26,6 +26,7 @@
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
 use crate::ids::{ConfigVersion, DomainId, RegionId, Revision, ServiceId};
+use crate::position::Epochs;
 use crate::process::membership::suspicion::Suspicion;
 use crate::version::plan::{ConnectionSharers, Plan, Route, Target};
 
@@ -121,6 +122,7 @@
             revision: 0,
             version: 0,
             reads: false,
+            epochs: Some(Epochs::default()),
         };
         Self {
             members: Mutex::new(Members::new(clock.now(), me, settings.seeds.clone())),
