Log the status of a server's error reply with the failed attempt

Cause: an error status (5xx) of a server itself is logged as `Unknown(BadReply)`, as is a reply that can't be used, so the line doesn't show whether the server or the connection failed. Change: the line "attempt failed" has the status if the server replied. No change of behaviour. The tests of the tier pass (28).

--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -64,9 +64,14 @@
                     outcome => outcome,
                 };
                 let failure = failure_of(&failed);
+                // The server's own error status, which the failure alone doesn't show.
+                let status = match &failed {
+                    Outcome::Answered(reply) => Some(reply.status),
+                    Outcome::NotRun(_) | Outcome::Unknown(_) => None,
+                };
                 tracing::info!(
                     request = %job.call.request_id, route = %job.route.id, server = %server,
-                    failure = ?failure, "attempt failed"
+                    failure = ?failure, status, "attempt failed"
                 );
                 if let Outcome::Answered(reply) = failed {
                     server_failure = Some(reply);
