Test that builds with and without epochs read each other's messages

Cause: a message that one side rejects or misreads during an upgrade means hosts considered down or left without facts, and the types do not show it.

Change: copies of the earlier struct definitions decode new gossip, pulls and facts to the earlier values, and their bytes decode to no epochs. Further cases: round trips, unchanged base bytes, the bytes that epochs add to gossip (5 if all agree), each cut and malformed extensions, an index out of range, and what happens to known epochs when a forwarded heartbeat lacks them.

--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -1,9 +1,120 @@
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method};
+use serde::{Deserialize, Serialize};
 use smallvec::smallvec;
 
-use super::{Call, ForwardedRequest, Frame, RelayCall, decode, encode};
+use super::{
+    Call, CallId, Facts, FactsExtension, ForwardedRequest, Frame, Known, RelayCall, RelayParts,
+    decode, encode,
+};
+use crate::ids::{ConfigVersion, Revision};
+use crate::position::Epochs;
+use crate::process::servers::registry::{Change, Fact};
+use crate::process::servers::withheld::{Withheld, WithheldSubject};
+use crate::version::plan::PlanDocument;
+
+/// [`Frame`] as builds without epochs define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum OldFrame {
+    Call(RelayCall),
+    Parts(RelayParts),
+    Cancel(CallId),
+    Pull(OldKnown),
+    Facts(OldFacts),
+}
+
+/// [`Known`] as builds without epochs define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldKnown {
+    revision: Revision,
+    version: ConfigVersion,
+}
+
+/// [`Facts`] as builds without epochs define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldFacts {
+    after: Revision,
+    changes: Vec<Change>,
+    up_to: Revision,
+    plan: Option<PlanDocument>,
+    returned_ms_ago: Option<u32>,
+}
+
+/// A frame of a kind that has an extension, and the same frame of a build without epochs.
+struct Case {
+    name: &'static str,
+    frame: Frame,
+    old: OldFrame,
+}
+
+const EPOCHS: Epochs = Epochs { source: 300, plan_series: 2 };
+
+fn changes() -> Vec<Change> {
+    vec![
+        Change { revision: 41, fact: Fact::Server("s".into(), None) },
+        Change { revision: 42, fact: Fact::DomainOut("d".into(), true) },
+    ]
+}
+
+fn plan() -> PlanDocument {
+    PlanDocument { version: 9, ..PlanDocument::default() }
+}
+
+fn extension() -> FactsExtension {
+    let server = WithheldSubject::Server { id: "s".into(), revision: 41, lost_revision: 90 };
+    let domain = WithheldSubject::Domain("d".into());
+    FactsExtension {
+        epochs: EPOCHS,
+        whole: true,
+        withheld: vec![
+            Withheld { subject: server, left_ms: 1_500 },
+            Withheld { subject: domain, left_ms: 0 },
+        ],
+    }
+}
+
+fn pull(epochs: Option<Epochs>) -> Case {
+    Case {
+        name: if epochs.is_some() { "pull with epochs" } else { "pull without epochs" },
+        frame: Frame::Pull(Known { revision: 42, version: 9, epochs }),
+        old: OldFrame::Pull(OldKnown { revision: 42, version: 9 }),
+    }
+}
+
+fn facts(extension: Option<FactsExtension>, plan: Option<PlanDocument>) -> Case {
+    Case {
+        name: match (&extension, &plan) {
+            (None, None) => "facts without extension or plan",
+            (None, Some(_)) => "facts with a plan and no extension",
+            (Some(_), None) => "facts with extension and no plan",
+            (Some(_), Some(_)) => "facts with extension and plan",
+        },
+        frame: Frame::Facts(Facts {
+            after: 40,
+            changes: changes(),
+            up_to: 42,
+            plan: plan.clone(),
+            returned_ms_ago: Some(700),
+            extension,
+        }),
+        old: OldFrame::Facts(OldFacts {
+            after: 40,
+            changes: changes(),
+            up_to: 42,
+            plan,
+            returned_ms_ago: Some(700),
+        }),
+    }
+}
+
+fn extended() -> [Case; 3] {
+    [pull(Some(EPOCHS)), facts(Some(extension()), None), facts(Some(extension()), Some(plan()))]
+}
+
+fn unextended() -> [Case; 3] {
+    [pull(None), facts(None, None), facts(None, Some(plan()))]
+}
 
 fn call() -> Call {
     let mut headers = HeaderMap::new();
@@ -45,3 +156,62 @@
     assert_eq!(decode(&[250, 1, 2]), None);
     assert_eq!(decode(&[]), None);
 }
+
+#[test]
+fn pulls_and_facts_round_trip_with_and_without_extension() {
+    for case in extended().into_iter().chain(unextended()) {
+        assert_eq!(decode(&encode(&case.frame)), Some(case.frame), "{}", case.name);
+    }
+}
+
+// Hosts that are not upgraded yet would get no facts from upgraded ones.
+#[test]
+fn old_build_does_not_reject_or_misread_frames_with_epochs() {
+    for case in extended().into_iter().chain(unextended()) {
+        let bytes = encode(&case.frame);
+        let read = postcard::from_bytes::<OldFrame>(&bytes);
+        assert_eq!(read, Ok(case.old), "{}", case.name);
+    }
+}
+
+// Upgraded hosts would get no facts from hosts that are not upgraded yet, or invent their epochs.
+#[test]
+fn new_build_does_not_reject_or_extend_frames_without_epochs() {
+    for case in unextended() {
+        let bytes = postcard::to_stdvec(&case.old).expect("plain data always serializes");
+        assert_eq!(decode(&bytes), Some(case.frame), "{}", case.name);
+    }
+}
+
+// An extension in the middle of a frame would shift what older builds read after it.
+#[test]
+fn extension_does_not_change_the_bytes_of_the_base_frame() {
+    for case in extended() {
+        let base = postcard::to_stdvec(&case.old).expect("plain data always serializes");
+        assert!(encode(&case.frame).starts_with(&base), "{}", case.name);
+    }
+    for case in unextended() {
+        let base = postcard::to_stdvec(&case.old).expect("plain data always serializes");
+        assert_eq!(encode(&case.frame), base, "{}", case.name);
+    }
+}
+
+#[test]
+fn frame_with_an_incomplete_or_malformed_extension_is_not_decoded() {
+    for case in extended() {
+        let bytes = encode(&case.frame);
+        let base = postcard::to_stdvec(&case.old).expect("plain data always serializes").len();
+        for length in base + 1..bytes.len() {
+            assert_eq!(decode(&bytes[..length]), None, "{} cut to {length} bytes", case.name);
+        }
+        // No integer is longer than ten bytes.
+        let malformed = [&bytes[..base], &[0xff; 11]].concat();
+        assert_eq!(decode(&malformed), None, "{}", case.name);
+    }
+}
+
+#[test]
+fn bytes_after_frames_without_extension_are_ignored() {
+    let bytes = [&encode(&Frame::Cancel(7))[..], &[0xff; 11]].concat();
+    assert_eq!(decode(&bytes), Some(Frame::Cancel(7)));
+}
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -3,9 +3,12 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::{Deserialize, Serialize};
 
-use super::{Gossip, Heartbeat, Members, Phase};
+use super::{DomainIndex, Gossip, GossipExtension, Heartbeat, Members, Phase};
 use crate::clock::Monotonic;
+use crate::ids::{ConfigVersion, Incarnation, Revision};
+use crate::position::{Epochs, PlanOrder, Position};
 
 const DOMAINS: u8 = 4;
 
@@ -172,3 +175,223 @@
         }
     }
 }
+
+/// [`Gossip`] as builds without epochs define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldGossip {
+    heartbeats: Vec<OldHeartbeat>,
+    wants_answer: bool,
+}
+
+/// [`Heartbeat`] as builds without epochs define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldHeartbeat {
+    ip: Ipv4Addr,
+    life: Incarnation,
+    count: u32,
+    phase: Phase,
+    domain: DomainIndex,
+    weight: u16,
+    revision: Revision,
+    version: ConfigVersion,
+    reads: bool,
+}
+
+impl From<&Gossip> for OldGossip {
+    fn from(gossip: &Gossip) -> Self {
+        let old = |h: &Heartbeat| OldHeartbeat {
+            ip: h.ip,
+            life: h.life,
+            count: h.count,
+            phase: h.phase,
+            domain: h.domain,
+            weight: h.weight,
+            revision: h.revision,
+            version: h.version,
+            reads: h.reads,
+        };
+        Self {
+            heartbeats: gossip.heartbeats.iter().map(old).collect(),
+            wants_answer: gossip.wants_answer,
+        }
+    }
+}
+
+const OLD: Option<Epochs> = Some(Epochs { source: 300, plan_series: 2 });
+const NEW: Option<Epochs> = Some(Epochs { source: 301, plan_series: 2 });
+
+/// The epochs of a message's heartbeats, and the number of bytes that they add.
+struct EpochsCase {
+    name: &'static str,
+    epochs: Vec<Option<Epochs>>,
+    added_bytes: usize,
+}
+
+fn epochs_cases() -> Vec<EpochsCase> {
+    let case = |name, epochs, added_bytes| EpochsCase { name, epochs, added_bytes };
+    vec![
+        case("no heartbeats", vec![], 0),
+        case("no epochs", vec![None; 3], 0),
+        case("the same epochs", vec![NEW; 200], 5),
+        case("only the sender's epochs", vec![NEW, None, None], 9),
+        case("all but the sender's epochs", vec![None, NEW, OLD], 12),
+        case("one host behind", vec![NEW, NEW, OLD, NEW], 10),
+    ]
+}
+
+fn gossip(epochs: &[Option<Epochs>]) -> Gossip {
+    let heartbeat = |(n, epochs): (u8, &Option<Epochs>)| Heartbeat {
+        count: 1_000 + u32::from(n),
+        revision: 70_000,
+        version: 9,
+        epochs: *epochs,
+        ..heartbeat(n)
+    };
+    let heartbeats = (0..=u8::MAX).zip(epochs).map(heartbeat).collect();
+    Gossip { heartbeats, wants_answer: true }
+}
+
+fn old_bytes(gossip: &Gossip) -> Vec<u8> {
+    postcard::to_stdvec(&OldGossip::from(gossip)).expect("plain data always serializes")
+}
+
+#[test]
+fn gossip_round_trips_with_few_bytes_for_epochs() {
+    for case in epochs_cases() {
+        let sent = gossip(&case.epochs);
+        let bytes = sent.encode();
+        assert_eq!(bytes.len() - old_bytes(&sent).len(), case.added_bytes, "{}", case.name);
+        assert_eq!(Gossip::decode(&bytes), Some(sent), "{}", case.name);
+    }
+}
+
+// Hosts that are not upgraded yet would consider upgraded ones down.
+#[test]
+fn old_build_does_not_reject_or_misread_gossip_with_epochs() {
+    for case in epochs_cases() {
+        let sent = gossip(&case.epochs);
+        let read = postcard::from_bytes::<OldGossip>(&sent.encode());
+        assert_eq!(read, Ok(OldGossip::from(&sent)), "{}", case.name);
+    }
+}
+
+// Upgraded hosts would consider hosts that are not upgraded yet down, or invent their epochs.
+#[test]
+fn new_build_does_not_reject_or_extend_gossip_without_epochs() {
+    for case in epochs_cases() {
+        let sent = gossip(&case.epochs);
+        let without = gossip(&vec![None; case.epochs.len()]);
+        assert_eq!(Gossip::decode(&old_bytes(&sent)), Some(without), "{}", case.name);
+    }
+}
+
+// An extension in the middle of a message would shift what older builds read after it.
+#[test]
+fn epochs_do_not_change_the_bytes_of_the_base_gossip() {
+    for case in epochs_cases() {
+        let sent = gossip(&case.epochs);
+        assert!(sent.encode().starts_with(&old_bytes(&sent)), "{}", case.name);
+    }
+}
+
+#[test]
+fn gossip_with_an_invalid_extension_is_not_decoded() {
+    for case in epochs_cases() {
+        let sent = gossip(&case.epochs);
+        let (bytes, base) = (sent.encode(), old_bytes(&sent));
+        for length in base.len() + 1..bytes.len() {
+            assert_eq!(Gossip::decode(&bytes[..length]), None, "{} cut to {length}", case.name);
+        }
+        let malformed = [&base[..], &[0xff; 11]].concat();
+        assert_eq!(Gossip::decode(&malformed), None, "{}", case.name);
+        let out_of_range = u16::try_from(case.epochs.len()).expect("the cases are short");
+        let extension = GossipExtension { sender: NEW, differing: vec![(out_of_range, OLD)] };
+        let bytes = postcard::to_extend(&extension, base).expect("plain data always serializes");
+        assert_eq!(Gossip::decode(&bytes), None, "{} with an index out of range", case.name);
+    }
+}
+
+#[test]
+fn heartbeat_without_epochs_has_no_position_and_is_in_the_first_plan_series() {
+    struct Case {
+        epochs: Option<Epochs>,
+        position: Option<Position>,
+        plan_order: PlanOrder,
+    }
+    let cases = [
+        Case { epochs: None, position: None, plan_order: PlanOrder { series: 0, version: 9 } },
+        Case {
+            epochs: NEW,
+            position: Some(Position { epoch: 301, revision: 70 }),
+            plan_order: PlanOrder { series: 2, version: 9 },
+        },
+    ];
+    for case in cases {
+        let heartbeat = Heartbeat { revision: 70, version: 9, epochs: case.epochs, ..heartbeat(1) };
+        assert_eq!(heartbeat.position(), case.position, "{:?}", case.epochs);
+        assert_eq!(heartbeat.plan_order(), case.plan_order, "{:?}", case.epochs);
+    }
+}
+
+// A host would lose its epochs each time a host of an older build forwards its heartbeat.
+#[test]
+fn forwarded_heartbeat_without_epochs_does_not_erase_those_of_the_same_life() {
+    struct Case {
+        name: &'static str,
+        known: Option<Heartbeat>,
+        arrives: Heartbeat,
+        expected: Option<Epochs>,
+    }
+    let at = |life, count, epochs| Heartbeat { life, count, epochs, ..heartbeat(1) };
+    let cases = [
+        Case {
+            name: "forwarded by an older build",
+            known: Some(at(1, 1, OLD)),
+            arrives: at(1, 2, None),
+            expected: OLD,
+        },
+        Case {
+            name: "forwarded by a build with epochs",
+            known: Some(at(1, 1, OLD)),
+            arrives: at(1, 2, NEW),
+            expected: NEW,
+        },
+        Case {
+            name: "restarted, perhaps with an older build",
+            known: Some(at(1, 1, OLD)),
+            arrives: at(2, 1, None),
+            expected: None,
+        },
+        Case {
+            name: "late heartbeat of an earlier life",
+            known: Some(at(2, 1, None)),
+            arrives: at(1, 9, OLD),
+            expected: None,
+        },
+        Case {
+            name: "late heartbeat of the same life",
+            known: Some(at(1, 3, NEW)),
+            arrives: at(1, 2, OLD),
+            expected: NEW,
+        },
+        Case {
+            name: "an older build's host",
+            known: Some(at(1, 1, None)),
+            arrives: at(1, 2, None),
+            expected: None,
+        },
+        Case { name: "unknown host", known: None, arrives: at(1, 2, None), expected: None },
+    ];
+    for case in cases {
+        let now = Duration::from_secs(1);
+        let mut members = Members::new(now, heartbeat(0), vec![]);
+        for forwarded in case.known.into_iter().chain([case.arrives]) {
+            let heartbeats = vec![heartbeat(2), forwarded];
+            members.on_gossip(now, Gossip { heartbeats, wants_answer: false });
+        }
+        let known = members.others.get(&ip(1)).map(|member| member.heartbeat);
+        let newest = case.known.into_iter().chain([case.arrives]).max_by_key(|h| (h.life, h.count));
+        let expected = newest.map(|newest| Heartbeat { epochs: case.expected, ..newest });
+        assert_eq!(known, expected, "{}", case.name);
+    }
+}
