Test that a route missing from the current plan is not found

Cause: nothing tests when "no such route" is the right answer, which the fix for outdated plans must keep. Change: a table of a host's and its peers' announcements with which the plan is known to be current.

--- /dev/null
+++ b/tests/tier/refused_routes.rs
@@ -0,0 +1,80 @@
+//! Requests that match no route of the plan in force: a host that can't know whether its plan is
+//! current refuses them as not ready instead of answering that there is no such route.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use quetzalpoint::Outcome;
+use quetzalpoint::ids::ConfigVersion;
+use quetzalpoint::process::membership::members::{Gossip, Heartbeat, Phase};
+use quetzalpoint::request::entry::Answer;
+
+use crate::fake::TestHost;
+
+/// What another host announces.
+struct Peer {
+    reads: bool,
+    version: ConfigVersion,
+}
+
+struct Case {
+    name: &'static str,
+    /// Whether the host itself can read from the source.
+    reads: bool,
+    peers: Vec<Peer>,
+}
+
+impl Case {
+    /// Serves a request without a route at a host that has plan version 1.
+    async fn serve(&self) -> Outcome<Answer> {
+        let mut host = TestHost::new(1);
+        let now = host.tier.now();
+        let mut members = host.tier.members();
+        members.own_heartbeat_mut().reads = self.reads;
+        let own = *members.own_heartbeat_mut();
+        let heartbeat = |(n, peer): (u8, &Peer)| Heartbeat {
+            ip: Ipv4Addr::new(127, 0, 7, n),
+            count: 1,
+            phase: Phase::Ready,
+            version: peer.version,
+            reads: peer.reads,
+            ..own
+        };
+        let heartbeats = (1..).zip(&self.peers).map(heartbeat).collect();
+        members.on_gossip(now, Gossip { heartbeats, wants_answer: false });
+        let view = members.view(now);
+        drop(members);
+        host.tier.fleet.store(Arc::new(view));
+        host.serve("no-such-route").await.0.outcome
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn route_missing_from_current_plan_is_not_found() {
+    let cases = [
+        Case { name: "the host reads, and is alone", reads: true, peers: vec![] },
+        Case {
+            name: "the host reads, and a peer has the same plan",
+            reads: true,
+            peers: vec![Peer { reads: false, version: 1 }],
+        },
+        Case {
+            name: "the host reads, and a peer has an older plan",
+            reads: true,
+            peers: vec![Peer { reads: true, version: 0 }],
+        },
+        Case {
+            name: "a peer reads and has the same plan",
+            reads: false,
+            peers: vec![Peer { reads: false, version: 1 }, Peer { reads: true, version: 1 }],
+        },
+    ];
+    for case in cases {
+        let outcome = case.serve().await;
+        assert!(
+            matches!(outcome, Outcome::Answered(Answer::NoRoute)),
+            "{}: {outcome:?}",
+            case.name
+        );
+    }
+}
