FAILING: test that a route missing from an outdated plan is refused as not ready

Cause: callers were refused with 404 on routes of a confirmed plan, and don't retry that answer. A host answers so whenever its own plan has no such route, also if a peer announces a newer plan or if neither it nor any live peer can read from the source.

--- a/tests/tier/refused_routes.rs
+++ b/tests/tier/refused_routes.rs
@@ -4,10 +4,10 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use quetzalpoint::Outcome;
 use quetzalpoint::ids::ConfigVersion;
 use quetzalpoint::process::membership::members::{Gossip, Heartbeat, Phase};
 use quetzalpoint::request::entry::Answer;
+use quetzalpoint::{NotRunReason, Outcome};
 
 use crate::fake::TestHost;
 
@@ -78,3 +78,40 @@
         );
     }
 }
+
+/// Guards against callers who are told that a route does not exist while the host has not yet
+/// received the plan that added it: they don't retry such an answer.
+#[tokio::test(start_paused = true)]
+async fn route_missing_from_outdated_plan_is_refused_as_not_ready() {
+    let cases = [
+        Case {
+            name: "a peer has a newer plan, and the host reads",
+            reads: true,
+            peers: vec![Peer { reads: true, version: 2 }],
+        },
+        Case {
+            name: "a peer that does not read has a newer plan",
+            reads: true,
+            peers: vec![Peer { reads: false, version: 2 }, Peer { reads: true, version: 1 }],
+        },
+        Case { name: "the host can't read, and is alone", reads: false, peers: vec![] },
+        Case {
+            name: "no host can read",
+            reads: false,
+            peers: vec![Peer { reads: false, version: 1 }, Peer { reads: false, version: 1 }],
+        },
+        Case {
+            name: "no host can read, and peers have an older plan",
+            reads: false,
+            peers: vec![Peer { reads: false, version: 0 }],
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let outcome = case.serve().await;
+        if !matches!(outcome, Outcome::NotRun(NotRunReason::NotReady)) {
+            wrong.push(format!("{}: {outcome:?}", case.name));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
