Refuse requests without a route as not ready while the plan may be outdated

What callers saw: proper requests ended with 404, which callers do not retry, at hosts whose plan was older than the confirmed one.

Cause: a host answered that there is no such route whenever its own plan had none, also if it knew that another host had a newer plan, if no host could read from the platform, or if the platform had just been restored and its plan may not have been published again. The request had not run, and the caller may succeed a moment later: that is a refusal with a time to retry after, not a final answer.

Change: in these cases the answer is "not ready" (503 on the platform). The log line of a request without a route says whether the plan may be outdated.

--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -88,10 +88,14 @@
     }
     let path = request.call.path.split('?').next().unwrap_or_default();
     let Some(route) = plan.route(&request.call.host, path) else {
+        let outdated = tier.plan_may_be_outdated();
         tracing::info!(
             request = %request.call.request_id, host = %request.call.host, path,
-            version = plan.version, "no route matches the request"
+            version = plan.version, outdated, "no route matches the request"
         );
+        if outdated {
+            return Served::of(Outcome::NotRun(NotRunReason::NotReady));
+        }
         return Served::of(Outcome::Answered(Answer::NoRoute));
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at));
