FAILING: test that exchanged facts are withheld no longer than by one host

Cause: a host that has ended its retention receives the fact again from one that has not cleaned up yet, with no time left, and withholds it until it cleans up the next time. Until then it passes the fact on in turn. `Registry::withheld` and `Registry::on_peer_withholds` both let an entry without time left through.

Change: a test with two hosts that clean up and receive facts in turn, 37.3 ms apart, for twice the retention.

--- a/tests/tier/fact_exchange.rs
+++ b/tests/tier/fact_exchange.rs
@@ -330,6 +330,52 @@
     }
 }
 
+/// Guards against a live server that is lost for good because hosts remind each other of what they
+/// withhold: it must end at its time at all of them, in whichever order they clean up.
+#[tokio::test(start_paused = true)]
+async fn exchanged_facts_are_withheld_no_longer_than_by_one_host() {
+    struct Case {
+        name: &'static str,
+        lost: Change,
+        /// Whether each host cleans up just before it receives facts, rather than just after.
+        sweeps_first: bool,
+    }
+    let cases = [
+        Case { name: "server", lost: removed(0, 70), sweeps_first: false },
+        Case { name: "server", lost: removed(0, 70), sweeps_first: true },
+        Case { name: "domain", lost: north_out(true, 70), sweeps_first: false },
+        Case { name: "domain", lost: north_out(true, 70), sweeps_first: true },
+    ];
+    // No whole number of milliseconds, so that rounding would add up.
+    let pause = Duration::from_micros(37_300);
+    let mut wrong = Vec::new();
+    for Case { name, lost, sweeps_first } in cases {
+        let hosts = [host_with(vec![lost.clone()]), host_with(vec![lost])];
+        hosts.iter().for_each(enter_second_epoch);
+        let entered_at = hosts[0].tier.now();
+        let mut receives = 0;
+        while hosts[0].tier.now() - entered_at < RETENTION * 2 {
+            let (host, peer) = (&hosts[receives], &hosts[1 - receives]);
+            if sweeps_first {
+                host.tier.sweep();
+                pull(peer, host);
+            } else {
+                pull(peer, host);
+                host.tier.sweep();
+            }
+            let is_early = host.tier.now() - entered_at < RETENTION - MARGIN;
+            assert!(!is_early || !usable(host, 0), "{name}: used before the retention ends");
+            tokio::time::sleep(pause).await;
+            receives = 1 - receives;
+        }
+        let usable = hosts.each_ref().map(|host| usable(host, 0));
+        if usable != [true, true] {
+            wrong.push(format!("{name}, cleans up first: {sweeps_first}: usable {usable:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Guards against changes of an unknown epoch from hosts that are not upgraded yet, and against plans
 /// that do not arrive from them.
 #[tokio::test(start_paused = true)]
