End what hosts withhold at its time, also when they remind each other of it

What callers would see: a live server or failure domain that is never used again after the platform was restored, if one host ended the retention while another still passed the fact on. Found by a test between hosts, not in the record.

Cause: a fact without time left was accepted, and each transfer added its own time, so that hosts could pass a fact to and fro without end.

Change: a host accepts no fact whose time is over, and none beyond the retention counted from its own entry into the epoch.

--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -170,11 +170,13 @@
 pub struct Registry {
     position: Position,
     /// The revision at which the present epoch was entered; changes after it were reported in it.
-    entered_at: Revision,
+    first_revision: Revision,
+    /// When the present epoch was entered.
+    entered_at: Monotonic,
+    /// Whether there was an earlier epoch, from which facts may be retained.
+    was_restored: bool,
     servers: BTreeMap<ServerId, Entry>,
     domains: HashMap<DomainId, DomainState>,
-    /// When the present epoch was entered, unless it is the first.
-    restored_at: Option<Monotonic>,
     source_lost: bool,
     source_recovered_at: Option<Monotonic>,
     /// Whether a peer has told what it retains of earlier epochs, since this registry entered the
@@ -196,8 +198,9 @@
     pub fn new(lapse_time: Duration) -> Self {
         Self {
             position: Position::default(),
-            entered_at: 0,
-            restored_at: None,
+            first_revision: 0,
+            entered_at: Monotonic::ZERO,
+            was_restored: false,
             servers: BTreeMap::new(),
             domains: HashMap::new(),
             source_lost: false,
@@ -325,7 +328,8 @@
         let from = std::mem::replace(&mut self.position, up_to);
         let servers = std::mem::take(&mut self.servers);
         let domains = std::mem::take(&mut self.domains);
-        self.entered_at = up_to.revision;
+        self.first_revision = up_to.revision;
+        self.entered_at = now;
         self.heard_from_peer = false;
         self.apply(now, changes, up_to);
         for (id, earlier) in servers {
@@ -343,16 +347,13 @@
             kept_servers: servers.filter(|entry| entry.grace_until.is_some()).count(),
         };
         // A registry that had read nothing before has lost nothing.
-        if from.revision == 0 {
-            return None;
-        }
-        self.restored_at = Some(now);
-        Some(change)
+        self.was_restored = from.revision > 0;
+        self.was_restored.then_some(change)
     }
 
     /// Returns whether the source was restored so recently that what it lost may be missing.
     pub fn was_restored_recently(&self, now: Monotonic) -> bool {
-        self.restored_at.is_some_and(|at| now.saturating_sub(at) < self.retention)
+        self.was_restored && now < self.entered_at + self.retention
     }
 
     fn retain_server(&mut self, now: Monotonic, id: ServerId, earlier: Entry) {
@@ -368,7 +369,7 @@
         // The cold start may be part of what was lost.
         entry.cold_until = entry.cold_until.max(earlier.cold_until);
         let lost_revision = earlier.withheld.map_or(earlier.revision, |w| w.lost_revision);
-        let is_new_report = entry.revision > self.entered_at;
+        let is_new_report = entry.revision > self.first_revision;
         if !is_usable && entry.revision < lost_revision && !is_new_report {
             let until = now + self.retention;
             entry.withheld = Some(WithheldEntry { lost_revision, until });
@@ -377,7 +378,7 @@
 
     /// Keeps a failure domain out, unless this epoch has reported that it is not.
     fn withhold_domain(&mut self, domain: DomainId, until: Monotonic) {
-        let revision = self.entered_at;
+        let revision = self.first_revision;
         let state = self.domains.entry(domain).or_insert(DomainState {
             revision,
             out: false,
@@ -388,7 +389,7 @@
         }
     }
 
-    /// Returns the facts of earlier epochs that are still retained, for other hosts.
+    /// Returns the facts of earlier epochs that are still withheld, for other hosts.
     pub fn withheld(&self, now: Monotonic) -> Vec<Withheld> {
         let left_ms =
             |until: Monotonic| u32::try_from(millis(until.saturating_sub(now))).unwrap_or(u32::MAX);
@@ -405,12 +406,18 @@
         servers.chain(domains).collect()
     }
 
-    /// Retains what a peer in the same epoch retains of earlier ones. A server that has reported
-    /// again since is not withheld.
+    /// Withholds what a peer in the same epoch withholds. A server that has reported again since is
+    /// not withheld.
     pub fn on_peer_withholds(&mut self, now: Monotonic, withheld: Vec<Withheld>) {
         self.heard_from_peer = true;
+        // Hosts that remind each other of a fact must not extend its time, since each transfer takes
+        // a little.
+        let latest = self.entered_at + self.retention;
         for Withheld { subject, left_ms } in withheld {
-            let until = now + Duration::from_millis(u64::from(left_ms)).min(self.retention);
+            let until = (now + Duration::from_millis(u64::from(left_ms))).min(latest);
+            if until <= now {
+                continue;
+            }
             match subject {
                 WithheldSubject::Server { id, revision, lost_revision } => {
                     let entry = self.servers.get_mut(&id);
