Don't hold the lock on the members across an await in a test

Cause: clippy warns of it in the new test of refused routes. Change: the view of the fleet is built in a function of its own, without a change of the cases.

--- a/tests/tier/refused_routes.rs
+++ b/tests/tier/refused_routes.rs
@@ -4,8 +4,9 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use quetzalpoint::clock::Monotonic;
 use quetzalpoint::ids::ConfigVersion;
-use quetzalpoint::process::membership::members::{Gossip, Heartbeat, Phase};
+use quetzalpoint::process::membership::members::{FleetView, Gossip, Heartbeat, Members, Phase};
 use quetzalpoint::request::entry::Answer;
 use quetzalpoint::{NotRunReason, Outcome};
 
@@ -28,8 +29,11 @@
     /// Serves a request without a route at a host that has plan version 1.
     async fn serve(&self) -> Outcome<Answer> {
         let mut host = TestHost::new(1);
-        let now = host.tier.now();
-        let mut members = host.tier.members();
+        host.tier.fleet.store(Arc::new(self.fleet(&mut host.tier.members(), host.tier.now())));
+        host.serve("no-such-route").await.0.outcome
+    }
+
+    fn fleet(&self, members: &mut Members, now: Monotonic) -> FleetView {
         members.own_heartbeat_mut().reads = self.reads;
         let own = *members.own_heartbeat_mut();
         let heartbeat = |(n, peer): (u8, &Peer)| Heartbeat {
@@ -42,10 +46,7 @@
         };
         let heartbeats = (1..).zip(&self.peers).map(heartbeat).collect();
         members.on_gossip(now, Gossip { heartbeats, wants_answer: false });
-        let view = members.view(now);
-        drop(members);
-        host.tier.fleet.store(Arc::new(view));
-        host.serve("no-such-route").await.0.outcome
+        members.view(now)
     }
 }
 
