Test what a host does with answers of other epochs from its source

Cause: a waiting call that is answered out of a new epoch, and a source that is still in an earlier epoch than other hosts know, had no test; nothing counted the calls that a host makes then.

Change: the model of a restored source counts its calls. New tables: answers out of a new epoch lead to one complete read, answers of an earlier epoch than the known one are rejected until the source is in it, and the calls stay within 50 in 5 s for a source that is restored again and again or that refuses all changes.

--- a/tests/tier/restored_source.rs
+++ b/tests/tier/restored_source.rs
@@ -8,8 +8,8 @@
 use quetzalpoint::connection::source::{Source, SourceError, SourceUpdate};
 use quetzalpoint::ids::Revision;
 use quetzalpoint::position::Position;
-use quetzalpoint::process::configuration::reader;
-use quetzalpoint::process::servers::registry::{Change, Fact, ServerRecord};
+use quetzalpoint::process::configuration::{fact_exchange, reader};
+use quetzalpoint::process::servers::registry::{Change, Fact, LAPSE_GRACE, ServerRecord};
 use quetzalpoint::version::plan::PlanDocument;
 
 use crate::fake::{NORTH, SOUTH, TestHost, server_record};
@@ -19,6 +19,9 @@
 /// The changes that other servers cause while hosts know the latest revision.
 const OTHER_CHANGES: usize = 20;
 
+/// More calls than a source ever gets in a test.
+const MAX_CALLS: usize = 10_000;
+
 /// By then nothing that was lost and not written again is retained any more: the time after which the
 /// entry of a silent server lapses, the grace period after that, and some calls.
 const RETENTION: Duration = Duration::from_secs(7);
@@ -53,10 +56,28 @@
     }
 }
 
+/// A call that a source got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SourceCall {
+    All,
+    Changes,
+}
+
+/// What a source does wrong whenever it is asked for changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Flaw {
+    #[default]
+    None,
+    /// It no longer has the changes after any position.
+    HistoryGone,
+}
+
 /// A source that can be restored from a copy of an earlier state.
 #[derive(Debug, Clone, Default)]
 struct RestorableSource {
     state: Arc<Mutex<State>>,
+    calls: Arc<Mutex<Vec<SourceCall>>>,
+    flaw: Flaw,
 }
 
 impl RestorableSource {
@@ -64,6 +85,20 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    fn calls(&self) -> MutexGuard<'_, Vec<SourceCall>> {
+        self.calls.lock().expect("no holder of the lock panics")
+    }
+
+    /// Records a call. A call after too many is not answered, since a host that calls without
+    /// pauses would keep the paused clock from advancing.
+    async fn record(&self, call: SourceCall) {
+        self.calls().push(call);
+        let count = self.calls().len();
+        if count > MAX_CALLS {
+            std::future::pending().await
+        }
+    }
+
     fn write_server(&self, record: &ServerRecord) {
         let fact = Fact::Server(record.id.clone(), Some(record.clone()));
         self.lock().write(&record.id, Item::Fact(fact));
@@ -116,8 +151,9 @@
 
 impl Source for RestorableSource {
     async fn read_all(&mut self) -> Result<SourceUpdate, SourceError> {
-        let state = self.lock();
-        Ok(update(state.items.values().cloned(), state.position))
+        self.record(SourceCall::All).await;
+        let state = self.copy();
+        Ok(update(state.items.into_values(), state.position))
     }
 
     async fn changes_after(
@@ -125,9 +161,14 @@
         after: Position,
         max_wait: Duration,
     ) -> Result<SourceUpdate, SourceError> {
+        self.record(SourceCall::Changes).await;
         let until = tokio::time::Instant::now() + max_wait;
         loop {
             let state = self.copy();
+            match self.flaw {
+                Flaw::None => {}
+                Flaw::HistoryGone => return Err(SourceError::HistoryGone),
+            }
             let revision = state.position.revision;
             if after.revision > revision {
                 return Err(SourceError::HistoryGone);
@@ -467,3 +508,234 @@
         reader_task.abort();
     }
 }
+
+/// Guards against changes of a new epoch that are never read because a waiting call was answered out
+/// of it: revisions above the awaited one do not mean that nothing is missing.
+#[tokio::test(start_paused = true)]
+async fn answer_out_of_new_epoch_leads_to_complete_read() {
+    struct Case {
+        name: &'static str,
+        written: fn(&RestorableSource),
+        /// By how much the source's revision then exceeds the one that the host waits to be exceeded.
+        excess: Revision,
+        within: Duration,
+    }
+    // A call that waits in vain ends after a second.
+    let (soon, after_wait) = (Duration::from_millis(200), Duration::from_millis(1_500));
+    let drains: fn(&RestorableSource) = |source| source.write_server(&draining());
+    let cases = [
+        Case { name: "server drains", written: drains, excess: 1, within: soon },
+        Case {
+            name: "server drains, many later changes",
+            written: drains,
+            excess: 30,
+            within: soon,
+        },
+        Case {
+            name: "server drains, same revision",
+            written: drains,
+            excess: 0,
+            within: after_wait,
+        },
+        Case {
+            name: "server is removed",
+            written: |source| source.remove_server(&server()),
+            excess: 1,
+            // The entries of live servers may be missing until they have reported again.
+            within: LAPSE_GRACE + after_wait,
+        },
+        Case {
+            name: "domain is taken out",
+            written: |source| source.set_domain_out(NORTH, true),
+            excess: 1,
+            within: soon,
+        },
+    ];
+    for Case { name, written, excess, within } in cases {
+        let host = TestHost::new(1);
+        let source = RestorableSource::default();
+        source.write_server(&server());
+        let copy = source.copy();
+        source.write_others(OTHER_CHANGES);
+        let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let awaited = host.tier.servers.load().position;
+        assert_eq!(source.calls()[..], [SourceCall::All, SourceCall::Changes], "{name}");
+        source.restore(copy);
+        written(&source);
+        while source.copy().position.revision < awaited.revision + excess {
+            source.write_others(1);
+        }
+        tokio::time::sleep(within).await;
+        host.tier.sweep();
+        let calls = source.calls().clone();
+        assert_eq!(calls[2], SourceCall::All, "{name}: after the answer out of the new epoch");
+        let reads = calls.iter().filter(|call| **call == SourceCall::All).count();
+        assert_eq!(reads, 2, "{name}: one complete read of each epoch");
+        assert_eq!(host.tier.servers.load().position, source.copy().position, "{name}");
+        assert!(!host.tier.servers.load().may_send(&server().id), "{name}");
+        reader_task.abort();
+    }
+}
+
+/// Returns a host that has read the second epoch, in which the server is ready and the plan has
+/// version 5.
+fn peer_in_second_epoch() -> TestHost {
+    let peer = TestHost::new(1);
+    let fact = Fact::Server(server().id, Some(server()));
+    let up_to = Position { epoch: 1, revision: 60 };
+    peer.tier.apply_snapshot(vec![Change { revision: 40, fact }], up_to);
+    fact_exchange::adopt(&peer.tier, plan_of(&peer, 5), 0);
+    peer
+}
+
+fn plan_of(host: &TestHost, version: u64) -> PlanDocument {
+    PlanDocument { version, ..PlanDocument::clone(host.tier.plan.load().document()) }
+}
+
+/// Guards against a host that reaches an old copy of the source and applies what it says over a later
+/// epoch, or that claims to read and keeps the hosts around it from doing so.
+#[tokio::test(start_paused = true)]
+async fn answers_of_earlier_epoch_than_known_are_rejected() {
+    struct Case {
+        name: &'static str,
+        /// Whether the host waits for changes when it receives the later epoch from a peer, rather
+        /// than starting to read afterwards.
+        waits: bool,
+        /// What the old copy says afterwards.
+        written: fn(&RestorableSource, &TestHost),
+    }
+    let drains: fn(&RestorableSource, &TestHost) = |source, _| source.write_server(&draining());
+    let new_plan: fn(&RestorableSource, &TestHost) =
+        |source, host| source.write_plan(&plan_of(host, 9));
+    let passes_by: fn(&RestorableSource, &TestHost) = |source, _| {
+        source.set_domain_out(NORTH, true);
+        source.write_others(100);
+    };
+    let nothing: fn(&RestorableSource, &TestHost) = |_, _| {};
+    let cases = [
+        Case { name: "server drains", waits: true, written: drains },
+        Case { name: "server drains", waits: false, written: drains },
+        Case { name: "plan is published", waits: true, written: new_plan },
+        Case { name: "plan is published", waits: false, written: new_plan },
+        Case { name: "higher revisions", waits: true, written: passes_by },
+        Case { name: "higher revisions", waits: false, written: passes_by },
+        Case { name: "no change", waits: true, written: nothing },
+        Case { name: "no change", waits: false, written: nothing },
+    ];
+    for Case { name, waits, written } in cases {
+        let name = format!("{name}, waits: {waits}");
+        let (host, peer) = (TestHost::new(1), peer_in_second_epoch());
+        let source = RestorableSource::default();
+        source.write_plan(&plan_of(&host, 2));
+        source.write_server(&server());
+        source.write_others(OTHER_CHANGES);
+        let reader = || tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+        let early_reader = waits.then(reader);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let known = fact_exchange::known_versions(&host.tier);
+        fact_exchange::on_facts(&host.tier, fact_exchange::facts_after(&peer.tier, known));
+        let reader_task = early_reader.unwrap_or_else(reader);
+        written(&source, &host);
+        let reads = || host.tier.members().own_heartbeat_mut().reads;
+        // A call that waits in vain ends after a second.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let calls_before = source.calls().len();
+        for _ in 0..10 {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            host.tier.sweep();
+            assert!(!reads(), "{name}: the host does not read from the known epoch");
+            assert!(host.tier.servers.load().may_send(&server().id), "{name}");
+            assert_eq!(host.tier.plan.load().version, 5, "{name}");
+            let position = host.tier.servers.load().position;
+            assert_eq!(position, Position { epoch: 1, revision: 60 }, "{name}");
+        }
+        let calls = source.calls().len() - calls_before;
+        assert!(calls <= MAX_CALLS_IN_5_S, "{name}: {calls} calls");
+        assert!(calls > 0, "{name}: the host must notice that the source recovers");
+        // The host reaches the source itself again.
+        source.restore(State::default());
+        source.write_others(70);
+        source.write_plan(&plan_of(&host, 9));
+        source.write_server(&draining());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(reads(), "{name}: the source is in the known epoch");
+        assert_eq!(host.tier.plan.load().version, 9, "{name}");
+        assert!(!host.tier.servers.load().may_send(&server().id), "{name}");
+        assert_eq!(host.tier.servers.load().position, source.copy().position, "{name}");
+        reader_task.abort();
+    }
+}
+
+/// One call per 100 ms: the platform limits the calls of all hosts together.
+const MAX_CALLS_IN_5_S: usize = 50;
+
+/// A source that a host can't follow by its changes.
+struct UnfollowedCase {
+    name: &'static str,
+    flaw: Flaw,
+    /// Whether the source holds a plan and servers.
+    filled: bool,
+    /// How often the source is restored, if it is.
+    restored_every: Option<Duration>,
+}
+
+impl UnfollowedCase {
+    /// Returns how many calls a host makes within 5 s, and whether it learns afterwards that a server
+    /// drains.
+    async fn run(&self) -> (usize, bool) {
+        let host = TestHost::new(1);
+        let source = RestorableSource { flaw: self.flaw, ..RestorableSource::default() };
+        // The host starts with changes of the first revision.
+        source.lock().position.revision = 1;
+        if self.filled {
+            source.write_plan(&plan_of(&host, 2));
+            source.write_server(&server());
+        }
+        let copy = source.copy();
+        let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+        let began_at = host.tier.now();
+        while host.tier.now() - began_at < Duration::from_secs(5) {
+            tokio::time::sleep(self.restored_every.unwrap_or(Duration::from_secs(1))).await;
+            if self.restored_every.is_some() {
+                source.write_others(1);
+                source.restore(copy.clone());
+            }
+        }
+        let calls = source.calls().len();
+        source.write_server(&draining());
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let drains = !host.tier.servers.load().may_send(&server().id);
+        reader_task.abort();
+        (calls, drains)
+    }
+}
+
+async fn assert_calls_stay_bounded(cases: impl IntoIterator<Item = UnfollowedCase>) {
+    let mut wrong = Vec::new();
+    for case in cases {
+        let (calls, drains) = case.run().await;
+        if calls > MAX_CALLS_IN_5_S || !drains {
+            wrong.push(format!("{}: {calls} calls, learns of changes: {drains}", case.name));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against a host that uses up the calls of all hosts, since it reads everything again and
+/// again after answers that it can't continue from.
+#[tokio::test(start_paused = true)]
+async fn calls_stay_bounded_if_source_can_not_be_followed() {
+    let case =
+        |name, flaw, restored_every| UnfollowedCase { name, flaw, filled: true, restored_every };
+    let restored_every = Some(Duration::from_millis(700));
+    let restored = |name, flaw| case(name, flaw, restored_every);
+    assert_calls_stay_bounded([
+        case("nothing wrong", Flaw::None, None),
+        case("history gone", Flaw::HistoryGone, None),
+        restored("restored", Flaw::None),
+        restored("restored, history gone", Flaw::HistoryGone),
+        UnfollowedCase { filled: false, ..restored("restored, empty", Flaw::None) },
+    ])
+    .await;
+}
