FAILING: test that calls stay bounded if the source is empty or contradicts itself

Cause: the reader pauses between calls only if an update has changes, and an answer for changes out of another epoch leads to a complete read without a pause. A source that is empty or that names different epochs gets calls as fast as it answers. The platform's store names one era in all its answers, so the cases with a later epoch need a fault of it or of something before it.

Change: three cases with the same bound as the others, one call per 100 ms.

--- a/tests/tier/restored_source.rs
+++ b/tests/tier/restored_source.rs
@@ -70,6 +70,8 @@
     None,
     /// It no longer has the changes after any position.
     HistoryGone,
+    /// It names a later epoch than for complete reads.
+    LaterEpoch,
 }
 
 /// A source that can be restored from a copy of an earlier state.
@@ -164,10 +166,14 @@
         self.record(SourceCall::Changes).await;
         let until = tokio::time::Instant::now() + max_wait;
         loop {
-            let state = self.copy();
+            let mut state = self.copy();
             match self.flaw {
                 Flaw::None => {}
                 Flaw::HistoryGone => return Err(SourceError::HistoryGone),
+                Flaw::LaterEpoch => {
+                    state.position.epoch += 1;
+                    return Ok(update(std::iter::empty(), state.position));
+                }
             }
             let revision = state.position.revision;
             if after.revision > revision {
@@ -739,3 +745,16 @@
     ])
     .await;
 }
+
+/// Guards against calls without pauses if the source holds nothing, or if its answers are from
+/// different epochs: a pause must not depend on what the source holds.
+#[tokio::test(start_paused = true)]
+async fn calls_stay_bounded_if_source_is_empty_or_contradicts_itself() {
+    let case = |name, flaw, filled| UnfollowedCase { name, flaw, filled, restored_every: None };
+    assert_calls_stay_bounded([
+        case("history gone, empty", Flaw::HistoryGone, false),
+        case("later epoch", Flaw::LaterEpoch, true),
+        case("later epoch, empty", Flaw::LaterEpoch, false),
+    ])
+    .await;
+}
