Tell a restarted host of its earlier heartbeats after it was considered down

Cause: heartbeats are ordered by incarnation and count, and a restarted process begins at 1 and 0. Peers raise its incarnation by returning the last heartbeat of the earlier process, but the reply contains only hosts that are up, so it lacks that heartbeat once the host has timed out. The peers then ignore it until its count has passed the old one, or for a minute. The test restarted the host at once, within the timeout. Change: the reply to a sender with an outdated heartbeat contains the one known of it. The table covers restarts after 0, 1, 5, 50 and 70 s and a fleet of 60.

--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -263,8 +263,15 @@
             }
         }
         let must_reply = gossip.wants_answer || sender_is_stale;
-        let reply = || Gossip { heartbeats: self.live_heartbeats(now), wants_answer: false };
-        from.filter(|_| must_reply).map(|ip| (ip, reply()))
+        let reply = |ip: &Ipv4Addr| {
+            let mut heartbeats = self.live_heartbeats(now);
+            // A host that was down for a while is not among the live ones, and must learn of the
+            // heartbeats of its earlier process nevertheless.
+            let earlier = self.others.get(ip).filter(|_| sender_is_stale);
+            heartbeats.extend(earlier.map(|member| member.heartbeat));
+            Gossip { heartbeats, wants_answer: false }
+        };
+        from.filter(|_| must_reply).map(|ip| (ip, reply(&ip)))
     }
 
     /// Returns whether a host's newest heartbeat is recent enough to consider it up.
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -106,16 +106,40 @@
 
 #[test]
 fn restarted_host_is_up_with_a_higher_incarnation_within_1500_ms() {
-    let mut net = Net::new(8);
-    net.run(Duration::from_secs(20), 0.0);
-    let seeds = vec![ip(0), ip(1), ip(200)];
-    net.hosts[5] = Some(Members::new(net.now, heartbeat(5), seeds));
-    net.run(Duration::from_millis(1_500), 0.0);
-    for n in (0..8).filter(|n| *n != 5) {
-        let view = net.hosts[n].as_ref().expect("the host is up").view(net.now);
-        let known = view.up.iter().find(|heartbeat| heartbeat.ip == ip(5));
-        assert!(known.is_some_and(|heartbeat| heartbeat.life > 1), "at {n}: {known:?}");
+    struct Case {
+        name: &'static str,
+        hosts: u8,
+        down_for: Duration,
+    }
+    let cases = [
+        Case { name: "at once", hosts: 8, down_for: Duration::ZERO },
+        Case { name: "before it is considered down", hosts: 8, down_for: Duration::from_secs(1) },
+        // Guards against peers that ignore the heartbeats of a host for up to a minute, since they
+        // remember later ones and don't tell it.
+        Case { name: "after it is considered down", hosts: 8, down_for: Duration::from_secs(5) },
+        Case { name: "long after it", hosts: 8, down_for: Duration::from_secs(50) },
+        Case { name: "after it is forgotten", hosts: 8, down_for: Duration::from_secs(70) },
+        Case { name: "in a large fleet", hosts: 60, down_for: Duration::from_secs(5) },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut net = Net::new(case.hosts);
+        net.run(Duration::from_secs(20), 0.0);
+        let incarnation_expected = if case.down_for < Duration::from_secs(60) { 2 } else { 1 };
+        let seeds = vec![ip(0), ip(1), ip(200)];
+        net.hosts[5] = None;
+        net.run(case.down_for, 0.0);
+        net.hosts[5] = Some(Members::new(net.now, heartbeat(5), seeds));
+        net.run(Duration::from_millis(1_500), 0.0);
+        for n in (0..usize::from(case.hosts)).filter(|n| *n != 5) {
+            let view = net.hosts[n].as_ref().expect("the host is up").view(net.now);
+            let known = view.up.iter().find(|heartbeat| heartbeat.ip == ip(5));
+            if known.is_none_or(|heartbeat| heartbeat.life != incarnation_expected) {
+                wrong.push(format!("{} at {n}: {known:?}", case.name));
+            }
+        }
     }
+    assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
 #[test]
