Add failing tests of restored sources found in review

- A removal that two restorations in a row have lost is forgotten (registry).
- A live server has no new grace period after a second restoration (registry).
- What a peer withholds overrides a newer report, or a readmission, that the host has read (registry).
- Hosts that tell each other what they withhold extend its time by the time that the messages take (registry).
- A host start counts as a recovery of the platform if epochs are above 0, and is passed on to all hosts (restored_source).
- A peer's new series of plans replaces a newer plan that the host has read, and nothing reads it again (restored_source).
- A reused version with other content is ignored for good, and lower versions in quick succession are never adopted (restored_source).

--- a/src/process/servers/registry/tests.rs
+++ b/src/process/servers/registry/tests.rs
@@ -148,3 +148,183 @@
     assert!(!second.view().may_send("a"));
     assert!(second.view().may_send("b"));
 }
+
+/// Returns a position in an epoch.
+fn in_epoch(epoch: u64, revision: u64) -> Position {
+    Position { epoch, revision }
+}
+
+/// Enters a later epoch as a host does that reads it from the source.
+fn enter(registry: &mut Registry, now: Monotonic, changes: Vec<Change>, up_to: Position) {
+    registry.on_source_restored(now);
+    registry.apply_snapshot(now, changes, up_to);
+}
+
+/// Guards against requests to a server that has left, after the source was restored twice within
+/// seconds and only the older of the two copies still lists the server. FAILS on d87535d.
+#[test]
+fn removed_server_stays_out_when_the_source_is_restored_twice() {
+    let mut registry = Registry::default();
+    registry.apply(START, vec![up("a", 50), up("b", 51), removed("a", 95)], at(100));
+    let now = START + Duration::from_secs(2);
+    enter(&mut registry, now, vec![up("b", 51)], in_epoch(1, 97));
+    let now = now + Duration::from_secs(2);
+    enter(&mut registry, now, vec![up("a", 50), up("b", 51)], in_epoch(2, 98));
+    assert!(!registry.view().may_send("a"), "removed four seconds ago, never reported again");
+}
+
+/// Guards against a live server that is dropped two seconds after a first restoration, although the
+/// source has just been restored again and the server could not yet report. FAILS on d87535d.
+#[test]
+fn live_server_has_its_time_to_report_after_each_restoration() {
+    let mut registry = Registry::default();
+    registry.apply(START, vec![up("b", 1), up("a", 90)], at(100));
+    enter(&mut registry, START, vec![up("b", 1)], in_epoch(1, 80));
+    let again = START + LAPSE_GRACE - Duration::from_millis(100);
+    enter(&mut registry, again, vec![up("b", 1)], in_epoch(2, 80));
+    registry.expire(again + LAPSE_GRACE / 2);
+    assert!(registry.view().may_send("a"), "one second after the second restoration");
+}
+
+/// Guards against a server that has reported in the present epoch and gets no requests because a
+/// host that entered the epoch after that report can't tell that it is new. FAILS on d87535d.
+#[test]
+fn host_that_saw_a_new_report_ignores_a_peer_that_withholds_the_server() {
+    let earlier = vec![up("a", 50), removed("a", 95)];
+    let (mut early, mut late) = (Registry::default(), Registry::default());
+    for registry in [&mut early, &mut late] {
+        registry.apply(START, earlier.clone(), at(100));
+    }
+    enter(&mut early, START, vec![up("a", 50)], in_epoch(1, 80));
+    early.apply(START, vec![up("a", 85)], in_epoch(1, 85));
+    assert!(early.view().may_send("a"), "reported after the epoch was entered");
+    enter(&mut late, START, vec![up("a", 85)], in_epoch(1, 90));
+    early.on_peer_withholds(START, late.withheld(START));
+    assert!(early.view().may_send("a"), "a peer that knows less must not take it out of use");
+}
+
+/// Guards against a failure domain that operators have readmitted in the present epoch and that a
+/// host takes out again because of a peer that has not yet read this. FAILS on d87535d.
+#[test]
+fn readmitted_domain_is_not_withheld_again_by_a_peer_that_lags() {
+    let out = |revision, out| Change { revision, fact: Fact::DomainOut("north".into(), out) };
+    let (mut lags, mut joins) = (Registry::default(), Registry::default());
+    lags.apply(START, vec![up("a", 50), out(95, true)], at(100));
+    enter(&mut lags, START, vec![up("a", 50)], in_epoch(1, 80));
+    // Taken out and readmitted in the present epoch at 90 and 95; a host that joins afterwards reads
+    // this, and is told what a host retains that is still at revision 80.
+    joins.apply_snapshot(START, vec![up("a", 50)], in_epoch(1, 120));
+    joins.on_peer_withholds(START, lags.withheld(START));
+    assert!(joins.view().may_send("a"), "the domain is in use as of revision 120");
+}
+
+/// Guards against hosts that extend what they withhold by telling each other: the time that a message
+/// is under way must not count anew each time. FAILS on d87535d.
+#[test]
+fn hosts_that_tell_each_other_do_not_extend_the_retention() {
+    struct Case {
+        name: &'static str,
+        delay: Duration,
+    }
+    let cases = [
+        Case { name: "between domains", delay: Duration::from_millis(30) },
+        Case { name: "a slowed link", delay: Duration::from_millis(600) },
+    ];
+    /// How often readers push while they withhold anything.
+    const PUSH_INTERVAL: Duration = Duration::from_millis(150);
+    let mut too_long = Vec::new();
+    for case in cases {
+        let mut hosts = [Registry::default(), Registry::default()];
+        for host in &mut hosts {
+            host.apply(START, vec![up("a", 50), removed("a", 95)], at(100));
+            enter(host, START, vec![up("a", 50)], in_epoch(1, 80));
+        }
+        let mut under_way = Vec::new();
+        let mut now = START;
+        let mut next_push = START;
+        let usable_after = loop {
+            now += Duration::from_millis(10);
+            for host in &mut hosts {
+                host.end_retention(now);
+            }
+            if now >= next_push {
+                next_push = now + PUSH_INTERVAL;
+                for (n, host) in hosts.iter().enumerate() {
+                    under_way.push((now + case.delay, 1 - n, host.withheld(now)));
+                }
+            }
+            let (due, later) = under_way.into_iter().partition(|(at, ..)| *at <= now);
+            under_way = later;
+            let due: Vec<_> = due;
+            for (_, to, withheld) in due {
+                hosts[to].on_peer_withholds(now, withheld);
+            }
+            let usable = hosts.iter().all(|host| host.view().may_send("a"));
+            if usable || now > START + Duration::from_secs(120) {
+                break now - START;
+            }
+        };
+        let bound = hosts[0].retention + case.delay + Duration::from_millis(20);
+        if usable_after > bound {
+            too_long.push(format!("{}: {usable_after:?}, bound {bound:?}", case.name));
+        }
+    }
+    assert!(too_long.is_empty(), "{too_long:#?}");
+}
+
+/// Guards against a server that is used, or a failure domain that stays out, for good because an
+/// older complete read of the same epoch arrives after a newer one, which does not say what was
+/// removed: its own read was under way, or another reader's push is late. FAILS on d87535d.
+#[test]
+fn older_snapshot_of_an_epoch_does_not_bring_back_what_a_newer_one_lacks() {
+    let out = |revision| Change { revision, fact: Fact::DomainOut("north".into(), true) };
+    struct Case {
+        name: &'static str,
+        /// What the host knows of the earlier epoch.
+        known: Vec<Change>,
+        newer: Vec<Change>,
+        older: Vec<Change>,
+        usable: [(&'static str, bool); 2],
+    }
+    let cases = [
+        Case {
+            name: "the host has just started",
+            known: vec![],
+            newer: vec![up("b", 51)],
+            older: vec![up("a", 50), up("b", 51)],
+            usable: [("a", false), ("b", true)],
+        },
+        Case {
+            name: "the server was removed in the earlier epoch too",
+            known: vec![up("a", 50), up("b", 51), removed("a", 95)],
+            newer: vec![up("b", 51)],
+            older: vec![up("a", 50), up("b", 51)],
+            usable: [("a", false), ("b", true)],
+        },
+        Case {
+            name: "the domain was readmitted in between",
+            known: vec![],
+            newer: vec![up("b", 51)],
+            older: vec![up("b", 51), out(60)],
+            usable: [("a", false), ("b", true)],
+        },
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let mut registry = Registry::default();
+        registry.apply(START, case.known, at(100));
+        enter(&mut registry, START, case.newer, in_epoch(1, 120));
+        registry.apply_snapshot(START, case.older, in_epoch(1, 110));
+        let later = START + Duration::from_secs(3_600);
+        registry.expire(later);
+        registry.end_retention(later);
+        // The source has nothing to say after this revision, so nothing corrects it.
+        assert_eq!(registry.position(), in_epoch(1, 120));
+        for (server, usable) in case.usable {
+            if registry.view().may_send(server) != usable {
+                wrong.push(format!("{}: {server} usable: {}", case.name, !usable));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/tests/tier/restored_source.rs
+++ b/tests/tier/restored_source.rs
@@ -2,13 +2,15 @@
 //! revisions again.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use quetzalpoint::connection::source::{Source, SourceError, SourceUpdate};
 use quetzalpoint::ids::Revision;
 use quetzalpoint::position::Position;
-use quetzalpoint::process::configuration::reader;
+use quetzalpoint::process::configuration::lower_plan::LOST_PLAN_RETENTION;
+use quetzalpoint::process::configuration::{fact_exchange, reader};
 use quetzalpoint::process::servers::registry::{Change, Fact, ServerRecord};
 use quetzalpoint::version::plan::PlanDocument;
 
@@ -467,3 +469,146 @@
         reader_task.abort();
     }
 }
+
+/// Guards against a confirmed plan that is never served because operators, after the platform lost
+/// the plan in force, gave its version out again with other content. FAILS on d87535d.
+#[tokio::test(start_paused = true)]
+async fn plan_with_a_reused_version_is_served() {
+    let host = TestHost::new(1);
+    let plan =
+        |version| PlanDocument { version, ..PlanDocument::clone(host.tier.plan.load().document()) };
+    let source = RestorableSource::default();
+    source.write_plan(&plan(7));
+    let copy = source.copy();
+    source.write_plan(&plan(9));
+    source.write_others(OTHER_CHANGES);
+    let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    source.restore(copy);
+    let mut other = plan(9);
+    other.routes.pop();
+    source.write_plan(&other);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(**host.tier.plan.load().document(), other, "the source holds it for a minute");
+    reader_task.abort();
+}
+
+/// Guards against confirmed plans that are not served while operators, after the platform lost the
+/// plan in force, continue from an older one with a version every few seconds. FAILS on d87535d.
+#[tokio::test(start_paused = true)]
+async fn lower_versions_in_quick_succession_do_not_delay_the_plan_without_end() {
+    let host = TestHost::new(1);
+    let plan =
+        |version| PlanDocument { version, ..PlanDocument::clone(host.tier.plan.load().document()) };
+    let source = RestorableSource::default();
+    source.write_plan(&plan(7));
+    let copy = source.copy();
+    source.write_plan(&plan(900));
+    source.write_others(OTHER_CHANGES);
+    let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    source.restore(copy);
+    for version in 8..20 {
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        source.write_plan(&plan(version));
+    }
+    let version = host.tier.plan.load().version;
+    reader_task.abort();
+    assert!(version < 900, "two minutes after it was lost, version {version} is still in force");
+}
+
+/// A source whose complete reads take this long to arrive, and show the state of their start.
+struct SlowSource {
+    source: RestorableSource,
+    delay: Duration,
+    reads: Arc<AtomicUsize>,
+}
+
+impl Source for SlowSource {
+    async fn read_all(&mut self) -> Result<SourceUpdate, SourceError> {
+        let reading = self.source.read_all().await;
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(self.delay).await;
+        reading
+    }
+
+    async fn changes_after(
+        &mut self,
+        after: Position,
+        max_wait: Duration,
+    ) -> Result<SourceUpdate, SourceError> {
+        self.source.changes_after(after, max_wait).await
+    }
+}
+
+/// Guards against a host that serves an older plan, and for good if the peer fails then: it has read
+/// the newest plan, and a peer whose complete read began before that one was published starts a new
+/// series of plans. FAILS on d87535d.
+#[tokio::test(start_paused = true)]
+async fn plan_that_was_read_outlasts_a_series_that_a_peer_starts_from_an_older_read() {
+    let (host, peer) = (TestHost::new(1), TestHost::new(1));
+    let plan =
+        |version| PlanDocument { version, ..PlanDocument::clone(host.tier.plan.load().document()) };
+    let source = RestorableSource::default();
+    source.write_plan(&plan(7));
+    let copy = source.copy();
+    source.write_plan(&plan(9));
+    let reads = Arc::new(AtomicUsize::new(0));
+    let delay = Duration::from_millis(600);
+    let slow = SlowSource { source: source.clone(), delay, reads: reads.clone() };
+    let peer_task = tokio::spawn(reader::run(peer.tier.clone(), slow));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fact_exchange::adopt(&host.tier, plan(9), 0);
+    source.restore(copy);
+    // The host becomes a reader later than the peer.
+    tokio::time::sleep(LOST_PLAN_RETENTION / 2).await;
+    let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+    // The peer's reads: at its start, in the new epoch, and at the end of the retention. Operators
+    // publish the newest plan while the last one is under way.
+    while reads.load(Ordering::Relaxed) < 3 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert_eq!(host.tier.plan.load().version, 9);
+    source.write_plan(&plan(10));
+    while peer.tier.plan.load().version != 7 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    peer_task.abort();
+    assert_eq!(host.tier.plan.load().version, 10, "the host has read the newest plan");
+    let known = fact_exchange::known_versions(&host.tier);
+    fact_exchange::on_facts(&host.tier, fact_exchange::facts_after(&peer.tier, known));
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let version = host.tier.plan.load().version;
+    reader_task.abort();
+    assert_eq!(version, 10, "the source has held version 10 for a minute");
+}
+
+/// Guards against requests to a removed server for a grace period that no outage justifies: a host
+/// that has just started does not know that the platform was away. FAILS on d87535d in the second
+/// case.
+#[tokio::test(start_paused = true)]
+async fn host_start_is_not_taken_for_a_recovery_of_the_platform() {
+    for epoch in [0, 1] {
+        let peer = TestHost::new(1);
+        let host = TestHost::new(1);
+        let source = RestorableSource::default();
+        source.write_server(&server());
+        source.write_others(OTHER_CHANGES);
+        // Restored long before either host starts.
+        source.lock().position.epoch = epoch;
+        let peer_task = tokio::spawn(reader::run(peer.tier.clone(), source.clone()));
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        peer.tier.sweep();
+        let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let known = fact_exchange::known_versions(&peer.tier);
+        fact_exchange::on_facts(&peer.tier, fact_exchange::facts_after(&host.tier, known));
+        source.remove_server(&server());
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        peer.tier.sweep();
+        let usable = peer.tier.servers.load().may_send(&server().id);
+        reader_task.abort();
+        peer_task.abort();
+        assert!(!usable, "epoch {epoch}: a removed server is still in use");
+    }
+}
