--- a/src/process/servers/registry/tests.rs
+++ b/src/process/servers/registry/tests.rs
@@ -161,7 +161,7 @@
 }
 
 /// Guards against requests to a server that has left, after the source was restored twice within
-/// seconds and only the older of the two copies still lists the server. FAILS on d87535d.
+/// seconds and only the older of the two copies still lists the server. FAILS on dc82ba3.
 #[test]
 fn removed_server_stays_out_when_the_source_is_restored_twice() {
     let mut registry = Registry::default();
@@ -174,7 +174,7 @@
 }
 
 /// Guards against a live server that is dropped two seconds after a first restoration, although the
-/// source has just been restored again and the server could not yet report. FAILS on d87535d.
+/// source has just been restored again and the server could not yet report. FAILS on dc82ba3.
 #[test]
 fn live_server_has_its_time_to_report_after_each_restoration() {
     let mut registry = Registry::default();
@@ -187,7 +187,7 @@
 }
 
 /// Guards against a server that has reported in the present epoch and gets no requests because a
-/// host that entered the epoch after that report can't tell that it is new. FAILS on d87535d.
+/// host that entered the epoch after that report can't tell that it is new. FAILS on dc82ba3.
 #[test]
 fn host_that_saw_a_new_report_ignores_a_peer_that_withholds_the_server() {
     let earlier = vec![up("a", 50), removed("a", 95)];
@@ -204,7 +204,7 @@
 }
 
 /// Guards against a failure domain that operators have readmitted in the present epoch and that a
-/// host takes out again because of a peer that has not yet read this. FAILS on d87535d.
+/// host takes out again because of a peer that has not yet read this. FAILS on dc82ba3.
 #[test]
 fn readmitted_domain_is_not_withheld_again_by_a_peer_that_lags() {
     let out = |revision, out| Change { revision, fact: Fact::DomainOut("north".into(), out) };
@@ -219,7 +219,7 @@
 }
 
 /// Guards against hosts that extend what they withhold by telling each other: the time that a message
-/// is under way must not count anew each time. FAILS on d87535d.
+/// is under way must not count anew each time.
 #[test]
 fn hosts_that_tell_each_other_do_not_extend_the_retention() {
     struct Case {
@@ -274,7 +274,7 @@
 
 /// Guards against a server that is used, or a failure domain that stays out, for good because an
 /// older complete read of the same epoch arrives after a newer one, which does not say what was
-/// removed: its own read was under way, or another reader's push is late. FAILS on d87535d.
+/// removed: its own read was under way, or another reader's push is late. FAILS on dc82ba3.
 #[test]
 fn older_snapshot_of_an_epoch_does_not_bring_back_what_a_newer_one_lacks() {
     let out = |revision| Change { revision, fact: Fact::DomainOut("north".into(), true) };
--- a/tests/tier/restored_source.rs
+++ b/tests/tier/restored_source.rs
@@ -471,7 +471,7 @@
 }
 
 /// Guards against a confirmed plan that is never served because operators, after the platform lost
-/// the plan in force, gave its version out again with other content. FAILS on d87535d.
+/// the plan in force, gave its version out again with other content. FAILS on dc82ba3.
 #[tokio::test(start_paused = true)]
 async fn plan_with_a_reused_version_is_served() {
     let host = TestHost::new(1);
@@ -494,7 +494,7 @@
 }
 
 /// Guards against confirmed plans that are not served while operators, after the platform lost the
-/// plan in force, continue from an older one with a version every few seconds. FAILS on d87535d.
+/// plan in force, continue from an older one with a version every few seconds. FAILS on dc82ba3.
 #[tokio::test(start_paused = true)]
 async fn lower_versions_in_quick_succession_do_not_delay_the_plan_without_end() {
     let host = TestHost::new(1);
@@ -543,7 +543,7 @@
 
 /// Guards against a host that serves an older plan, and for good if the peer fails then: it has read
 /// the newest plan, and a peer whose complete read began before that one was published starts a new
-/// series of plans. FAILS on d87535d.
+/// series of plans. FAILS on dc82ba3.
 #[tokio::test(start_paused = true)]
 async fn plan_that_was_read_outlasts_a_series_that_a_peer_starts_from_an_older_read() {
     let (host, peer) = (TestHost::new(1), TestHost::new(1));
@@ -584,7 +584,7 @@
 }
 
 /// Guards against requests to a removed server for a grace period that no outage justifies: a host
-/// that has just started does not know that the platform was away. FAILS on d87535d in the second
+/// that has just started does not know that the platform was away. FAILS on dc82ba3 in the second
 /// case.
 #[tokio::test(start_paused = true)]
 async fn host_start_is_not_taken_for_a_recovery_of_the_platform() {
