--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -93,6 +93,8 @@
     pub epochs: Epochs,
     /// Whether `changes` are the complete state, rather than the changes after `after`.
     pub whole: bool,
+    /// Whether the host knows an epoch before this one, so that `withheld` is of use.
+    pub knows_earlier: bool,
     /// The servers and failure domains that get no requests because of facts of earlier epochs.
     pub withheld: Vec<Withheld>,
 }
--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -67,6 +67,7 @@
     FactsExtension {
         epochs: EPOCHS,
         whole: true,
+        knows_earlier: true,
         withheld: vec![
             Withheld { subject: server, left_ms: 1_500 },
             Withheld { subject: domain, left_ms: 0 },
--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -6,7 +6,6 @@
 //! one retains of earlier epochs. See `docs/PLATFORM.md`, sections "Reading the platform" and
 //! "Epochs".
 
-use std::cmp::Ordering;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +16,7 @@
 use crate::ids::{PlanSeries, Revision};
 use crate::position::{Epochs, PlanOrder, Position};
 use crate::process::membership::members::{Heartbeat, Phase};
-use crate::process::servers::registry::{Change, Registry};
+use crate::process::servers::registry::Change;
 use crate::process::tier::Tier;
 use crate::version::plan::{Plan, PlanDocument};
 
@@ -63,29 +62,37 @@
     extension: FactsExtension,
 ) {
     let now = tier.now();
-    let before = tier.registry(Registry::position);
-    let enters_epoch = up_to.epoch > before.epoch;
-    if up_to.epoch < before.epoch || (enters_epoch && !extension.whole) {
+    let count = changes.len();
+    let FactsExtension { whole, knows_earlier, withheld, .. } = extension;
+    // The position may change while no lock is held, and the facts must fit the one they meet.
+    let (before, reached, change) = tier.update_registry(|registry| {
+        let before = registry.position();
+        let enters_epoch = up_to.epoch > before.epoch;
+        if up_to.epoch < before.epoch || (enters_epoch && !whole) {
+            return (before, before, None);
+        }
+        if let Some(ago) = returned_ago {
+            registry.on_peer_reported_recovery(now, ago);
+        }
+        let mut change = None;
+        if whole && up_to > before {
+            change = registry.apply_snapshot(now, changes, up_to);
+        } else {
+            // Changes that start after this host's revision leave a gap, which the next pull closes.
+            let is_complete = after <= before.revision && up_to > before;
+            registry.apply(now, changes, if is_complete { up_to } else { before });
+        }
+        registry.on_peer_withholds(now, up_to, knows_earlier, withheld);
+        (before, registry.position(), change)
+    });
+    tier.on_epoch_change(change);
+    if up_to.epoch != reached.epoch {
         tracing::debug!(
             epoch = up_to.epoch,
-            known = before.epoch,
+            known = reached.epoch,
             "ignored facts of another epoch"
         );
-        return;
     }
-    if let Some(ago) = returned_ago {
-        tier.update_registry_source(|registry| registry.on_peer_reported_recovery(now, ago));
-    }
-    let count = changes.len();
-    if extension.whole && up_to > before {
-        tier.apply_snapshot(changes, up_to);
-    } else {
-        // Changes that start after this host's revision leave a gap, which the next pull closes.
-        let is_complete = after <= before.revision && up_to > before;
-        tier.apply_changes(changes, if is_complete { up_to } else { before });
-    }
-    tier.update_registry(|registry| registry.on_peer_withholds(now, extension.withheld));
-    let reached = tier.servers.load().position;
     if count > 0 && reached > before {
         tracing::info!(
             changes = count,
@@ -112,7 +119,7 @@
             "a plan has the version in force and other content; it is ignored"
         );
     }
-    if order <= in_force.order() {
+    if order <= tier.plan.load().order() {
         return false;
     }
     match Plan::new(document) {
@@ -132,15 +139,15 @@
     tier.registry(|registry| {
         let Position { epoch, revision } = registry.position();
         let known_epoch = known.epochs.map_or(epoch, |epochs| epochs.source);
-        let whole = known_epoch < epoch;
-        let changes = match known_epoch.cmp(&epoch) {
-            Ordering::Less => registry.snapshot(now),
-            Ordering::Equal => registry.changes_after(known.revision, now),
-            Ordering::Greater => Vec::new(),
-        };
+        let lacks_changes = known_epoch == epoch && !registry.has_changes_after(known.revision);
+        // A host of an older build does not know complete states.
+        let whole = known.epochs.is_some() && (known_epoch < epoch || lacks_changes);
+        let after = if whole { 0 } else { known.revision };
+        let changes =
+            if known_epoch > epoch { Vec::new() } else { registry.changes_after(after, now) };
         let returned = registry.source_recovered_ago(now);
         Facts {
-            after: if whole { 0 } else { known.revision },
+            after,
             changes,
             up_to: revision,
             plan: lacks_plan.then(|| PlanDocument::clone(plan.document())),
@@ -148,6 +155,7 @@
             extension: Some(FactsExtension {
                 epochs: Epochs { source: epoch, plan_series: plan.series },
                 whole,
+                knows_earlier: registry.knows_earlier_epoch(),
                 withheld: registry.withheld(now),
             }),
         }
@@ -183,15 +191,16 @@
     let known = known_versions(tier);
     let own = tier.domain_index(&tier.settings.domain);
     let fleet = tier.fleet.load();
-    let (position, heard) =
-        tier.registry(|registry| (registry.position(), registry.has_heard_from_peer()));
+    let now = tier.now();
+    let (position, asks) =
+        tier.registry(|registry| (registry.position(), registry.asks_peers(now)));
     let knows_more = |h: &&Heartbeat| {
-        let may_retain_facts = || h.position().is_some_and(|at| at.epoch >= position.epoch);
+        let may_withhold = || h.position().is_some_and(|at| at.epoch >= position.epoch);
         h.position() > Some(position)
             || h.plan_order() > known.plan_order()
-            || (!heard && may_retain_facts())
+            || (asks && may_withhold())
     };
-    let rank = |h: &&Heartbeat| (h.domain == own, h.plan_order(), h.position());
+    let rank = |h: &&Heartbeat| (h.domain == own, h.position(), h.plan_order());
     let best = fleet.up.iter().filter(knows_more).max_by_key(rank);
     if let Some(host) = best {
         tier.peers.send(host.ip, tier.settings.peer_port, Frame::Pull(known));
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use super::fact_exchange;
-use super::lower_plan::LowerPlan;
+use super::lost_plan::LostPlan;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::source::{Source, SourceError, SourceUpdate};
-use crate::position::Position;
+use crate::position::{PlanOrder, Position};
 use crate::process::membership::members::Heartbeat;
 use crate::process::servers::registry::Registry;
 use crate::process::tier::Tier;
@@ -37,23 +37,23 @@
 
 async fn follow<B: BackendProtocol>(tier: Arc<Tier<B>>, mut source: impl Source) {
     let mut whole = true;
-    // A source that can't be followed from the position of its own complete state gets a backoff;
-    // otherwise it would get calls without end.
+    // There is a delay before a complete read directly after another one; otherwise a source that
+    // can't be followed from the position of its own state would get calls without end.
     let mut after_whole = false;
-    let mut read_epoch = None;
-    let mut lower_plan = LowerPlan::default();
+    let mut read_of = None;
+    let mut lost_plan = LostPlan::default();
     let mut backoff = MIN_BACKOFF;
     loop {
-        whole |= lower_plan.is_due(tier.now());
+        whole |= lost_plan.is_due(tier.now());
         if !whole && !is_reader(&tier) {
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
         let before = fact_exchange::known_versions(&tier);
         let after = tier.registry(Registry::position);
-        // The host that read an epoch first may have failed before it could tell whether the source
-        // still holds the plan in force.
-        whole |= read_epoch != Some(after.epoch);
+        // Another host that read the epoch, or started the series of plans, may have missed or not
+        // passed on what the source holds, and may have failed since.
+        whole |= read_of != Some(tier.epochs());
         let result = if whole {
             source.read_all().await
         } else {
@@ -64,15 +64,16 @@
             // The registry can only follow changes within an epoch.
             Ok(update) if !whole && update.up_to.epoch != after.epoch => {
                 whole = true;
-                if after_whole { next_backoff(&tier, &mut backoff) } else { Duration::ZERO }
+                if after_whole { MIN_BACKOFF } else { Duration::ZERO }
             }
             Ok(update) => {
                 backoff = MIN_BACKOFF;
                 let changed = update.plan.is_some() || !update.changes.is_empty();
+                let same_series = tier.plan.load().series == before.plan_order().series;
+                on_source_update(&tier, update, whole, before.plan_order(), &mut lost_plan);
                 if whole {
-                    read_epoch = Some(update.up_to.epoch);
+                    read_of = same_series.then(|| tier.epochs());
                 }
-                on_source_update(&tier, update, whole, &mut lower_plan);
                 fact_exchange::push(&tier, before);
                 after_whole = std::mem::replace(&mut whole, false);
                 if changed || after_whole { CHANGE_BATCH_DELAY } else { Duration::ZERO }
@@ -84,7 +85,7 @@
                     "the platform no longer has the changes after this revision; reading everything again"
                 );
                 whole = true;
-                if after_whole { next_backoff(&tier, &mut backoff) } else { Duration::ZERO }
+                if after_whole { MIN_BACKOFF } else { Duration::ZERO }
             }
             Err(error) => {
                 whole |= matches!(error, SourceError::OutdatedEpoch { .. });
@@ -138,7 +139,8 @@
     tier: &Tier<B>,
     update: SourceUpdate,
     whole: bool,
-    lower_plan: &mut LowerPlan,
+    plan_before: PlanOrder,
+    lost_plan: &mut LostPlan,
 ) {
     let now = tier.now();
     let Position { epoch, revision } = update.up_to;
@@ -155,13 +157,15 @@
         tracing::info!(epoch, revision, "the platform answers again");
     }
     match update.plan {
-        Some(document) => on_plan(tier, document, whole, lower_plan),
-        None if whole => lower_plan.on_no_plan(),
+        Some(document) => on_plan(tier, document, whole, plan_before, lost_plan),
+        // Without a plan, the source holds nothing that could replace the one in force.
+        None if whole => drop(lost_plan.on_read(now, false, true)),
         None => {}
     }
     let count = update.changes.len();
     if whole {
-        if epoch > tier.registry(Registry::position).epoch {
+        let known = tier.registry(Registry::position);
+        if epoch > known.epoch && known.revision > 0 {
             tier.update_registry_source(|registry| registry.on_source_restored(now));
         }
         tier.apply_snapshot(update.changes, update.up_to);
@@ -174,16 +178,21 @@
     }
 }
 
-/// Handles a plan that the source holds.
+/// Handles a plan that the source holds; `before` is the plan that was in force before the read.
 fn on_plan<B: BackendProtocol>(
     tier: &Tier<B>,
     document: PlanDocument,
     whole: bool,
-    lower_plan: &mut LowerPlan,
+    before: PlanOrder,
+    lost_plan: &mut LostPlan,
 ) {
-    let in_force = tier.plan.load().order();
-    let version = document.version;
-    if lower_plan.on_read(tier.now(), version, in_force.version, whole) {
+    let plan = tier.plan.load();
+    let (in_force, version) = (plan.order(), document.version);
+    let is_lost = version < in_force.version
+        || (version == in_force.version && document != **plan.document());
+    // A plan that was adopted during the read may be newer than the read.
+    let replaces = lost_plan.on_read(tier.now(), is_lost, whole) && before == in_force;
+    if replaces {
         tracing::warn!(
             version,
             in_force = in_force.version,
@@ -193,7 +202,7 @@
         if fact_exchange::adopt(tier, document, in_force.series + 1) {
             tier.metrics.plan_series_started();
         }
-    } else if version < in_force.version {
+    } else if is_lost {
         tracing::warn!(
             version,
             in_force = in_force.version,
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -109,32 +109,27 @@
     }
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Entry {
     revision: Revision,
     record: Option<ServerRecord>,
     cold_until: Monotonic,
     /// The end of the grace period, if the entry lapsed during an outage of the source.
     grace_until: Option<Monotonic>,
-    withheld: Option<WithheldEntry>,
+    /// The revision, in an earlier epoch, of the report that the server is leaving or removed, if the
+    /// server has not reported in this epoch.
+    lost_revision: Option<Revision>,
+    /// The end of the time for which the server gets no requests because of that report.
+    withheld_until: Option<Monotonic>,
 }
 
 impl Entry {
     /// Returns the record if the server may get new requests as far as its own entry is concerned.
     fn usable(&self) -> Option<&ServerRecord> {
-        self.record.as_ref().filter(|record| record.ready && self.withheld.is_none())
+        self.record.as_ref().filter(|record| record.ready && self.withheld_until.is_none())
     }
 }
 
-/// Why a server gets no requests although its entry allows it: an earlier epoch reported that it was
-/// leaving or removed, and the present one may only have lost that.
-#[derive(Debug, Clone, Copy)]
-struct WithheldEntry {
-    /// The revision of the lost fact, in the earlier epoch.
-    lost_revision: Revision,
-    until: Monotonic,
-}
-
 #[derive(Debug, Clone)]
 struct DomainState {
     revision: Revision,
@@ -173,14 +168,17 @@
     first_revision: Revision,
     /// When the present epoch was entered.
     entered_at: Monotonic,
+    /// The revision of the latest complete state. It does not tell what was removed before, so an
+    /// unknown key with an earlier change was removed since.
+    snapshot_revision: Revision,
     /// Whether there was an earlier epoch, from which facts may be retained.
     was_restored: bool,
     servers: BTreeMap<ServerId, Entry>,
     domains: HashMap<DomainId, DomainState>,
     source_lost: bool,
     source_recovered_at: Option<Monotonic>,
-    /// Whether a peer has told what it retains of earlier epochs, since this registry entered the
-    /// present one.
+    /// Whether a peer that knows an earlier epoch has told what it withholds, since this registry
+    /// entered the present one.
     heard_from_peer: bool,
     /// How long facts of an earlier epoch are retained.
     retention: Duration,
@@ -200,6 +198,7 @@
             position: Position::default(),
             first_revision: 0,
             entered_at: Monotonic::ZERO,
+            snapshot_revision: 0,
             was_restored: false,
             servers: BTreeMap::new(),
             domains: HashMap::new(),
@@ -303,6 +302,11 @@
             |(domain, state): &(&DomainId, &DomainState)| state.out && !out.contains(*domain);
         let readmitted: Vec<DomainId> =
             self.domains.iter().filter(is_readmitted).map(|(domain, _)| domain.clone()).collect();
+        // A newer state may list what an older one did not; an older one may not.
+        let snapshot_revision = self.snapshot_revision;
+        if up_to > self.position {
+            self.snapshot_revision = 0;
+        }
         self.apply(now, changes, up_to);
         for id in removed {
             self.on_server(now, id, None, up_to.revision);
@@ -310,6 +314,7 @@
         for domain in readmitted {
             self.on_domain(domain, false, up_to.revision);
         }
+        self.snapshot_revision = snapshot_revision.max(up_to.revision);
         None
     }
 
@@ -326,14 +331,17 @@
         up_to: Position,
     ) -> Option<EpochChange> {
         let from = std::mem::replace(&mut self.position, up_to);
+        let earlier_first = std::mem::replace(&mut self.first_revision, up_to.revision);
         let servers = std::mem::take(&mut self.servers);
         let domains = std::mem::take(&mut self.domains);
-        self.first_revision = up_to.revision;
         self.entered_at = now;
+        self.snapshot_revision = 0;
         self.heard_from_peer = false;
         self.apply(now, changes, up_to);
+        self.snapshot_revision = up_to.revision;
         for (id, earlier) in servers {
-            self.retain_server(now, id, earlier);
+            let reported = earlier.revision > earlier_first;
+            self.retain_server(now, id, earlier, reported);
         }
         for (domain, _) in domains.into_iter().filter(|(_, earlier)| earlier.is_out()) {
             self.withhold_domain(domain, now + self.retention);
@@ -342,7 +350,7 @@
         let change = EpochChange {
             from,
             to: up_to,
-            withheld_servers: servers.clone().filter(|entry| entry.withheld.is_some()).count(),
+            withheld_servers: servers.clone().filter(|e| e.withheld_until.is_some()).count(),
             withheld_domains: self.domains.values().filter(|d| d.withheld_until.is_some()).count(),
             kept_servers: servers.filter(|entry| entry.grace_until.is_some()).count(),
         };
@@ -356,23 +364,33 @@
         self.was_restored && now < self.entered_at + self.retention
     }
 
-    fn retain_server(&mut self, now: Monotonic, id: ServerId, earlier: Entry) {
+    /// Retains what an earlier epoch said of a server; `reported` tells whether the server had been
+    /// reported in that epoch, rather than retained from one before.
+    fn retain_server(&mut self, now: Monotonic, id: ServerId, earlier: Entry, reported: bool) {
         let is_usable = earlier.usable().is_some();
-        let Some(entry) = self.servers.get_mut(&id) else {
-            let until = earlier.grace_until.or_else(|| self.grace_end(now));
-            if is_usable && until.is_some() {
-                let revision = self.position.revision;
-                self.servers.insert(id, Entry { revision, grace_until: until, ..earlier });
+        let lost_revision = earlier.lost_revision.unwrap_or(earlier.revision);
+        let (first_revision, retention, grace) =
+            (self.first_revision, self.retention, self.grace_end(now));
+        let absent = Entry { revision: first_revision, ..Entry::default() };
+        let entry = self.servers.entry(id).or_insert(absent);
+        if entry.record.is_none() {
+            if !is_usable {
+                entry.lost_revision = Some(lost_revision);
+                return;
+            }
+            // A server that was removed while entries could lapse has no more time than it had.
+            let grace = earlier.grace_until.filter(|_| reported).or(grace);
+            if grace.is_some() {
+                *entry = Entry { revision: entry.revision, grace_until: grace, ..earlier };
             }
             return;
-        };
+        }
         // The cold start may be part of what was lost.
         entry.cold_until = entry.cold_until.max(earlier.cold_until);
-        let lost_revision = earlier.withheld.map_or(earlier.revision, |w| w.lost_revision);
-        let is_new_report = entry.revision > self.first_revision;
+        let is_new_report = entry.revision > first_revision;
         if !is_usable && entry.revision < lost_revision && !is_new_report {
-            let until = now + self.retention;
-            entry.withheld = Some(WithheldEntry { lost_revision, until });
+            entry.lost_revision = Some(lost_revision);
+            entry.withheld_until = Some(now + retention);
         }
     }
 
@@ -394,7 +412,7 @@
         let left_ms =
             |until: Monotonic| u32::try_from(millis(until.saturating_sub(now))).unwrap_or(u32::MAX);
         let servers = self.servers.iter().filter_map(|(id, entry)| {
-            let WithheldEntry { lost_revision, until } = entry.withheld?;
+            let (until, lost_revision) = (entry.withheld_until?, entry.lost_revision?);
             let (id, revision) = (id.clone(), entry.revision);
             let subject = WithheldSubject::Server { id, revision, lost_revision };
             Some(Withheld { subject, left_ms: left_ms(until) })
@@ -406,10 +424,20 @@
         servers.chain(domains).collect()
     }
 
-    /// Withholds what a peer in the same epoch withholds. A server that has reported again since is
-    /// not withheld.
-    pub fn on_peer_withholds(&mut self, now: Monotonic, withheld: Vec<Withheld>) {
-        self.heard_from_peer = true;
+    /// Withholds what a peer at `from` withholds, unless the peer lags: then it may not have heard yet
+    /// of a new report. A server that has reported to this host in the present epoch is not withheld.
+    /// `knows_earlier` tells whether the peer knows an earlier epoch.
+    pub fn on_peer_withholds(
+        &mut self,
+        now: Monotonic,
+        from: Position,
+        knows_earlier: bool,
+        withheld: Vec<Withheld>,
+    ) {
+        if from.epoch != self.position.epoch || from < self.position {
+            return;
+        }
+        self.heard_from_peer |= knows_earlier;
         // Hosts that remind each other of a fact must not extend its time, since each transfer takes
         // a little.
         let latest = self.entered_at + self.retention;
@@ -420,10 +448,10 @@
             }
             match subject {
                 WithheldSubject::Server { id, revision, lost_revision } => {
-                    let entry = self.servers.get_mut(&id);
-                    if let Some(entry) = entry.filter(|entry| entry.revision <= revision) {
-                        let until = entry.withheld.map_or(until, |known| known.until.max(until));
-                        entry.withheld = Some(WithheldEntry { lost_revision, until });
+                    let known = revision.min(self.first_revision);
+                    if let Some(entry) = self.servers.get_mut(&id).filter(|e| e.revision <= known) {
+                        entry.lost_revision = Some(lost_revision);
+                        entry.withheld_until = entry.withheld_until.max(Some(until));
                     }
                 }
                 WithheldSubject::Domain(domain) => self.withhold_domain(domain, until),
@@ -431,9 +459,21 @@
         }
     }
 
-    /// Returns whether a peer has told what it retains, since this registry entered its epoch.
-    pub const fn has_heard_from_peer(&self) -> bool {
-        self.heard_from_peer
+    /// Returns whether this host knows an earlier epoch, itself or from a peer.
+    pub const fn knows_earlier_epoch(&self) -> bool {
+        self.was_restored || self.heard_from_peer
+    }
+
+    /// Returns whether to ask a peer what it withholds: none that knows an earlier epoch has told it
+    /// since this host entered the present one, and it may still matter.
+    pub fn asks_peers(&self, now: Monotonic) -> bool {
+        !self.heard_from_peer && now < self.entered_at + self.retention
+    }
+
+    /// Returns whether the changes after a revision of this epoch are complete. They are not if this
+    /// host has read the state since as a whole, which does not tell what was removed.
+    pub const fn has_changes_after(&self, revision: Revision) -> bool {
+        revision >= self.snapshot_revision
     }
 
     /// Returns the changes after a revision, for a host that has all earlier ones of this epoch.
@@ -463,15 +503,6 @@
         servers.chain(domains).collect()
     }
 
-    /// Returns the complete state, for a host whose registry is of an earlier epoch.
-    pub fn snapshot(&self, now: Monotonic) -> Vec<Change> {
-        let mut changes = self.changes_after(0, now);
-        changes.retain(|change| {
-            !matches!(change.fact, Fact::Server(_, None) | Fact::DomainOut(_, false))
-        });
-        changes
-    }
-
     /// Removes entries whose grace period is over; returns whether there were any.
     pub fn expire(&mut self, now: Monotonic) -> bool {
         let mut any = false;
@@ -490,8 +521,8 @@
     pub fn end_retention(&mut self, now: Monotonic) -> usize {
         let mut count = 0;
         for entry in self.servers.values_mut() {
-            if entry.withheld.is_some_and(|withheld| now >= withheld.until) {
-                entry.withheld = None;
+            if entry.withheld_until.is_some_and(|until| now >= until) {
+                entry.withheld_until = None;
                 count += 1;
             }
         }
@@ -530,18 +561,23 @@
         revision: Revision,
     ) -> bool {
         let known = self.servers.get(&id);
-        if known.is_some_and(|entry| entry.revision >= revision) && !flawed!(OlderRevisionWins) {
+        let known_at = known.map_or(self.snapshot_revision, |entry| entry.revision);
+        if known_at >= revision && !flawed!(OlderRevisionWins) {
             return false;
         }
         let grace = record.is_none().then(|| self.grace_end(now)).flatten();
         let kept = known.filter(|_| grace.is_some()).and_then(|entry| entry.record.clone());
         let grace_until = grace.filter(|_| kept.is_some());
         // The entry of a server that is withheld may lapse; then it is still withheld.
-        let withheld = known.filter(|_| grace_until.is_some()).and_then(|entry| entry.withheld);
+        let withheld = known.filter(|_| grace_until.is_some());
+        let lost_revision = withheld.and_then(|entry| entry.lost_revision);
+        let withheld_until = withheld.and_then(|entry| entry.withheld_until);
         let record = record.or(kept);
         let cold_left = record.as_ref().map_or(0, |record| record.cold_left_ms);
         let cold_until = now + Duration::from_millis(cold_left);
-        self.servers.insert(id, Entry { revision, record, cold_until, grace_until, withheld });
+        let entry =
+            Entry { revision, record, cold_until, grace_until, lost_revision, withheld_until };
+        self.servers.insert(id, entry);
         true
     }
 
@@ -553,7 +589,8 @@
     }
 
     fn on_domain(&mut self, domain: DomainId, out: bool, revision: Revision) -> bool {
-        if self.domains.get(&domain).is_some_and(|known| known.revision >= revision) {
+        let known = self.domains.get(&domain);
+        if known.map_or(self.snapshot_revision, |known| known.revision) >= revision {
             return false;
         }
         self.domains.insert(domain, DomainState { revision, out, withheld_until: None });
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -18,7 +18,9 @@
 use super::metrics::Metrics;
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
 use super::servers::passive_health::PassiveHealth;
-use super::servers::registry::{Change, LiveServer, Registry, ServerRecord, ServerView};
+use super::servers::registry::{
+    Change, EpochChange, LiveServer, Registry, ServerRecord, ServerView,
+};
 use super::servers::split::WeightedRoundRobin;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::BackendProtocol;
@@ -396,19 +398,27 @@
     pub fn apply_snapshot(&self, changes: Vec<Change>, up_to: Position) {
         let now = self.now();
         let change = self.update_registry(|registry| registry.apply_snapshot(now, changes, up_to));
-        if let Some(change) = change {
-            self.metrics.epoch_change();
-            tracing::warn!(
-                from = change.from.epoch,
-                to = change.to.epoch,
-                from_revision = change.from.revision,
-                to_revision = change.to.revision,
-                withheld_servers = change.withheld_servers,
-                withheld_domains = change.withheld_domains,
-                kept_servers = change.kept_servers,
-                "the platform was restored from an older state; what it lost is retained for a while"
-            );
-        }
+        self.on_epoch_change(change);
+    }
+
+    /// Reports what the registry retained, if it entered a later epoch.
+    pub(crate) fn on_epoch_change(&self, change: Option<EpochChange>) {
+        let Some(EpochChange { from, to, withheld_servers, withheld_domains, kept_servers }) =
+            change
+        else {
+            return;
+        };
+        self.metrics.epoch_change();
+        tracing::warn!(
+            from = from.epoch,
+            to = to.epoch,
+            from_revision = from.revision,
+            to_revision = to.revision,
+            withheld_servers,
+            withheld_domains,
+            kept_servers,
+            "the platform was restored from an older state; what it lost is retained for a while"
+        );
     }
 
     /// Returns what this host announces of the epochs of its facts and its plan.
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -13,7 +13,7 @@
 use quetzalpoint::ids::{RegionId, ServerId, ServiceId};
 use quetzalpoint::position::Position;
 use quetzalpoint::process::budgets::extra_attempt_budget::ExtraAttemptLimit;
-use quetzalpoint::process::servers::registry::{Change, Fact, ServerRecord};
+use quetzalpoint::process::servers::registry::{Change, Fact, Registry, ServerRecord};
 use quetzalpoint::process::tier::{Tier, TierSettings};
 use quetzalpoint::request::entry::{Request, Served, serve};
 use quetzalpoint::version::plan::{
@@ -311,6 +311,13 @@
         host
     }
 
+    /// Creates a host that has not received any facts of the platform yet.
+    pub fn without_facts(shards: usize) -> Self {
+        let host = Self::new(shards);
+        host.tier.update_registry(|registry| *registry = Registry::new(LAPSE_TIME));
+        host
+    }
+
     /// Applies changes of the platform's first epoch to the registry of the host.
     pub fn apply_changes(&mut self, changes: Vec<Change>, up_to: u64) {
         self.tier.apply_changes(changes, Position { epoch: 0, revision: up_to });
