FAILING: test that a lagging host learns what ended before its peer entered the epoch

Cause: a host that enters an epoch knows what has ended in it before only from what the complete state does not list, and has no entries for that. `facts_after` still sends a host of the same epoch with a lower revision its changes after that revision, as if they were complete. The receiver takes over the position and keeps a removed server in use, or a readmitted failure domain out, until it reads everything from the source itself. The facts must be the complete state if the receiver's revision is below the one at which the sender entered.

Change: three cases of two hosts in one epoch.

--- a/tests/tier/fact_exchange.rs
+++ b/tests/tier/fact_exchange.rs
@@ -515,3 +515,54 @@
         }
     }
 }
+
+/// Guards against a server that gets requests, or a failure domain that stays out, for good at a host
+/// that had no connection for a moment: a peer that has entered the epoch later knows what has ended
+/// before only from what the source does not list.
+#[tokio::test(start_paused = true)]
+async fn host_that_lags_within_epoch_learns_what_ended_before_its_peer_entered() {
+    struct Case {
+        name: &'static str,
+        /// What the lagging host has read of the epoch, up to revision 60.
+        read: Vec<Change>,
+        /// What its peer has read of the epoch, up to revision 70.
+        read_later: Vec<Change>,
+        usable: bool,
+    }
+    let both = || vec![reported(0, 40), reported(1, 41)];
+    let cases = [
+        Case {
+            name: "server removed",
+            read: both(),
+            read_later: vec![reported(1, 41)],
+            usable: false,
+        },
+        Case {
+            name: "server drains",
+            read: both(),
+            read_later: vec![draining(0, 65), reported(1, 41)],
+            usable: false,
+        },
+        Case {
+            name: "domain readmitted",
+            read: vec![reported(0, 40), reported(1, 41), north_out(true, 45)],
+            read_later: both(),
+            usable: true,
+        },
+    ];
+    let mut wrong = Vec::new();
+    for Case { name, read, read_later, usable: expected } in cases {
+        let (host, peer) = (TestHost::new(2), TestHost::new(2));
+        host.tier.apply_snapshot(read, at(1, 60));
+        peer.tier.apply_snapshot(read_later, at(1, 70));
+        pull(&peer, &host);
+        assert_eq!(position(&host), at(1, 70), "{name}");
+        tokio::time::sleep(RETENTION + MARGIN).await;
+        host.tier.sweep();
+        let usable = [&host, &peer].map(|host| usable(host, 0));
+        if usable != [expected; 2] {
+            wrong.push(format!("{name}: usable {usable:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
