FAILING: test that a restarted server's requests go to its new address

Cause: a server may start again under the id that it had. Connections are pooled by id, so idle ones lead to the address of the earlier process after the registry has the new one. Change: a table of what answers at the earlier address. Of the three cases, "nothing" passes; with "nothing, and silently" the first request times out after 1.975 s, and with "another server" three of three are not run (`ServerLeaving`, then `DeadlineTooClose` while the restarted server is avoided for 2 s).

--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -13,6 +13,7 @@
 mod platform_outages;
 mod refused_routes;
 mod relay_failures;
+mod restarted_servers;
 mod retries;
 mod reused_addresses;
 mod servers_out_of_service;
