--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -14,6 +14,7 @@
 mod refused_routes;
 mod relay_failures;
 mod restored_source;
+mod restarted_servers;
 mod retries;
 mod reused_addresses;
 mod servers_out_of_service;
