Close connections to the earlier address of a restarted server

What callers would see: a request that times out after 1.975 s, or three of three requests that are not run, after a server started again under its id at another address.

Cause: connections are pooled by the server's id, so idle ones still led to the address of the earlier process when the registry had the new one.

Change: the pool knows the address that is wanted; if it changes, idle connections are closed, and those in use are not reused.

--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -1,6 +1,7 @@
 //! The connection pool for backend servers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 
 #[derive(Debug)]
 struct PerServer<L> {
+    /// The address to which connections were last wanted.
+    addr: Option<SocketAddr>,
     idle: Vec<IdleConnection<L>>,
     open: usize,
     /// A connection is not reused if its last exchange began before this.
@@ -32,7 +35,7 @@
 
 impl<L> Default for PerServer<L> {
     fn default() -> Self {
-        Self { idle: Vec::new(), open: 0, not_before: Monotonic::ZERO }
+        Self { addr: None, idle: Vec::new(), open: 0, not_before: Monotonic::ZERO }
     }
 }
 
@@ -48,11 +51,31 @@
     }
 }
 
+impl<L> PerServer<L> {
+    /// Closes all idle connections; connections in use are not reused.
+    fn invalidate(&mut self, now: Monotonic) {
+        self.open = self.open.saturating_sub(self.idle.len());
+        self.idle.clear();
+        self.not_before = now;
+    }
+}
+
 impl<L: Exchange> ServerPool<L> {
-    /// Takes the most recently used idle connection, if it has been idle for at most `idle_for`.
-    pub fn take(&self, now: Monotonic, server: &str, idle_for: Duration) -> Option<L> {
+    /// Takes the most recently used idle connection, if it has been idle for at most `idle_for`. A
+    /// server may start again under its id at another address; connections to the earlier one are
+    /// closed.
+    pub fn take(
+        &self,
+        now: Monotonic,
+        server: &str,
+        addr: SocketAddr,
+        idle_for: Duration,
+    ) -> Option<L> {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         let entry = servers.get_mut(server)?;
+        if entry.addr.replace(addr).is_some_and(|known| known != addr) {
+            entry.invalidate(now);
+        }
         let before = entry.idle.len();
         entry.idle.retain(|idle| now < idle.usable_until);
         entry.open = entry.open.saturating_sub(before - entry.idle.len());
@@ -95,9 +118,7 @@
     pub fn invalidate(&self, now: Monotonic, server: &str) {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         if let Some(entry) = servers.get_mut(server) {
-            entry.open = entry.open.saturating_sub(entry.idle.len());
-            entry.idle.clear();
-            entry.not_before = now;
+            entry.invalidate(now);
         }
     }
 
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -201,7 +201,7 @@
         Idempotency::Idempotent => Duration::MAX,
         Idempotency::NonIdempotent => ASSUMED_ALIVE_FOR,
     };
-    let mut idle = tier.pool.take(tier.now(), id, idle_for);
+    let mut idle = tier.pool.take(tier.now(), id, record.addr, idle_for);
     loop {
         let reused = idle.is_some();
         let (mut link, slot) = match idle.take() {
