--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -154,15 +154,15 @@
             let entry = |draining| {
                 settings::server(&server.service, endpoint.proxy.addr, endpoint.domain, draining)
             };
-            world.store.put(&key, &entry(true));
+            world.store.put(&key, &entry(true)).expect("the store is present");
             tokio::time::sleep(fault.duration).await;
-            world.store.remove(&key);
+            world.store.remove(&key).expect("the store is present");
             tokio::time::sleep(fault.duration).await;
-            world.store.put(&key, &entry(false));
+            world.store.put(&key, &entry(false)).expect("the store is present");
         }
         FaultKind::Plan => {
             let plan = settings::plan(n as u64 + 2, &world.shards, RECORD_COUNT, COVERAGE_FLOOR);
-            world.store.put(settings::PLAN_KEY, &plan);
+            world.store.put(settings::PLAN_KEY, &plan).expect("the store is present");
         }
     }
     Ok(None)
@@ -194,9 +194,9 @@
     endpoint.proxy.set_mode(LinkMode::Whole);
     *endpoint.server.lock().expect("no holder of the lock panics") = new.clone();
     tokio::time::sleep(STALE_ENTRY_TIME).await;
-    world.store.remove(&settings::server_key(&old.id));
+    world.store.remove(&settings::server_key(&old.id)).expect("the store is present");
     let entry = settings::server(&new.service, endpoint.proxy.addr, endpoint.domain, false);
-    world.store.put(&settings::server_key(&new.id), &entry);
+    world.store.put(&settings::server_key(&new.id), &entry).expect("the store is present");
     Ok(())
 }
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -200,7 +200,9 @@
         let (store, run_counts) = (Store::default(), RunCounts::default());
         let store_proxy = Proxy::start(standin_ip, store.serve(standin_ip).await?).await?;
         let shards: Vec<String> = (0..SHARDS).map(|n| format!("shard-{n}")).collect();
-        store.put(settings::PLAN_KEY, &settings::plan(1, &shards, RECORD_COUNT, COVERAGE_FLOOR));
+        store
+            .put(settings::PLAN_KEY, &settings::plan(1, &shards, RECORD_COUNT, COVERAGE_FLOOR))
+            .expect("the store is present");
         let mut endpoints = Vec::new();
         for (n, shard) in shards.iter().enumerate() {
             for domain in DOMAINS {
@@ -208,7 +210,7 @@
                 let server = Server::new(id, shard.clone(), records(n), run_counts.clone());
                 let proxy = Proxy::start(standin_ip, server.serve(standin_ip).await?).await?;
                 let entry = settings::server(shard, proxy.addr, domain, false);
-                store.put(&settings::server_key(&server.id), &entry);
+                store.put(&settings::server_key(&server.id), &entry).expect("the store is present");
                 endpoints.push(Endpoint { domain, proxy, server: Mutex::new(server) });
             }
         }
