Let the soak's store return from older copies, and check the bounds in time

Cause: the soak could not reproduce the incident: its store lost nothing, its plans differed in their version only, and it checked no bound on plans, evacuations or leaving servers.

Change: faults of the kind Restore take a copy, let the store go away and return from the copy, around plans, evacuations, leaving and replaced servers. Each plan adds a route and drops one, and every host is probed for them. The servers of the stand-in record arrivals; timeline.rs keeps what the store had acknowledged, bounds.rs checks the bounds for hosts in touch. At the end each ready server must get requests. Violations are counted by reason. The default length is 30 s, so that the bounds end within it.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -13,7 +13,7 @@
     DEADLINE_MS, MISSING_PARTS, PART_STAMPS, REQUEST_ID, RESPONSE_STAMP, directory_addrs,
     directory_path,
 };
-use quetzal_platform_standin::settings::{DIRECTORY_PORT, HOST_NAME};
+use quetzal_platform_standin::settings::{ADDED_ROUTES, DIRECTORY_PORT, HOST_NAME};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -31,6 +31,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The mean pause between two requests of a caller.
 const MEAN_PAUSE: Duration = Duration::from_millis(25);
+/// The mean pause between two probes of a host.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// One request in this many may run at most once; the others are idempotent.
 const NON_IDEMPOTENT_EVERY: u32 = 4;
 /// One caller in this many opens a new connection for each request.
@@ -57,12 +59,32 @@
     Silent,
 }
 
+/// The route of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// A query over all shards.
+    All,
+    /// A request to one service that may run at most once.
+    One,
+    /// A request to one service on a route that only some plans name.
+    Added(u64),
+}
+
+impl Route {
+    fn path(self) -> String {
+        match self {
+            Self::All => "/all/x".to_owned(),
+            Self::One => "/one/x".to_owned(),
+            Self::Added(n) => format!("/added-{n}/x"),
+        }
+    }
+}
+
 /// One request and its outcome, as its caller observed it.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
     pub id: String,
-    /// Whether the request may run at most once.
-    pub non_idempotent: bool,
+    pub route: Route,
     pub host: SocketAddr,
     pub sent_at: Instant,
     pub ended_at: Instant,
@@ -115,15 +137,33 @@
             }
         };
         count += 1;
-        let non_idempotent = count.is_multiple_of(NON_IDEMPOTENT_EVERY);
-        let id = format!("c{n}-{count}");
-        let sent_at = Instant::now();
-        let (outcome, may_reuse) = send(&mut connection.sender, &id, non_idempotent).await;
-        let (host, ended_at) = (connection.host, Instant::now());
+        let route =
+            if count.is_multiple_of(NON_IDEMPOTENT_EVERY) { Route::One } else { Route::All };
+        let (request, may_reuse) = send(&mut connection, format!("c{n}-{count}"), route).await;
         if may_reuse {
             idle_connection = Some(connection);
         }
-        let request = SentRequest { id, non_idempotent, host, sent_at, ended_at, outcome };
+        sent_requests.lock().expect("no holder of the lock panics").push(request);
+    }
+}
+
+/// Asks one host until `stop_at` for routes that were added or dropped lately, or never existed.
+pub async fn probe(
+    world: Arc<World>,
+    host: SocketAddr,
+    mut rng: SmallRng,
+    sent_requests: SentRequests,
+    stop_at: Instant,
+) {
+    let mut count = 0_u32;
+    while Instant::now() < stop_at {
+        tokio::time::sleep(PROBE_PAUSE.mul_f64(rng.random_range(0.5..1.5))).await;
+        let newest = world.writers.newest_plan();
+        let n = rng.random_range(newest.saturating_sub(ADDED_ROUTES).max(1)..=newest + 2);
+        let Some(sender) = connect(host).await else { continue };
+        count += 1;
+        let id = format!("p{}-{count}", host.ip());
+        let (request, _) = send(&mut CallerConnection { host, sender }, id, Route::Added(n)).await;
         sent_requests.lock().expect("no holder of the lock panics").push(request);
     }
 }
@@ -150,25 +190,21 @@
     result.ok().flatten().unwrap_or_default()
 }
 
-/// Sends a request; returns its outcome and whether the connection may be reused.
-async fn send(
-    sender: &mut SendRequest<Empty<Bytes>>,
-    id: &str,
-    non_idempotent: bool,
-) -> (Outcome, bool) {
-    let path = if non_idempotent { "/one/x" } else { "/all/x" };
-    let request = Request::get(path)
+/// Sends a request; returns it with its outcome, and whether the connection may be reused.
+async fn send(connection: &mut CallerConnection, id: String, route: Route) -> (SentRequest, bool) {
+    let sent_at = Instant::now();
+    let request = Request::get(route.path())
         .header("host", HOST_NAME)
-        .header(REQUEST_ID, id)
+        .header(REQUEST_ID, &id)
         .header(DEADLINE_MS, DEADLINE.as_millis().to_string())
         .body(Empty::new())
         .expect("the request is well formed");
     let exchange = async {
-        let answer = sender.send_request(request).await.ok()?;
+        let answer = connection.sender.send_request(request).await.ok()?;
         let (head, body) = answer.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let signatures = header(if non_idempotent { RESPONSE_STAMP } else { PART_STAMPS });
+        let signatures = header(if route == Route::All { PART_STAMPS } else { RESPONSE_STAMP });
         let signatures = signatures.unwrap_or_default();
         let signatures = signatures.split(", ").filter(|s| !s.is_empty());
         let closes = header("connection") == Some("close");
@@ -180,9 +216,11 @@
         };
         Some((answer, !closes))
     };
-    match tokio::time::timeout(REPLY_TIMEOUT, exchange).await {
+    let (outcome, may_reuse) = match tokio::time::timeout(REPLY_TIMEOUT, exchange).await {
         Ok(Some((answer, may_reuse))) => (Outcome::Answered(answer), may_reuse),
         Ok(None) => (Outcome::Closed, false),
         Err(_) => (Outcome::Silent, false),
-    }
+    };
+    let (host, ended_at) = (connection.host, Instant::now());
+    (SentRequest { id, route, host, sent_at, ended_at, outcome }, may_reuse)
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -11,8 +11,12 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
+use serde_json::json;
+
+use crate::invariants::Violation;
 use crate::proxy::LinkMode;
-use crate::world::{COVERAGE_FLOOR, RECORD_COUNT, World};
+use crate::restore::Restore;
+use crate::world::{DOMAINS, Endpoint, World};
 
 /// Faults start after this time, when all hosts are up.
 pub const FIRST_FAULT_AFTER: Duration = Duration::from_secs(3);
@@ -20,9 +24,11 @@
 pub const FAULT_FREE_END: Duration = Duration::from_secs(8);
 /// The upper limit of a fault's duration: longer than hosts take to detect that another failed,
 /// shorter than a daemon's grace period.
-const MAX_FAULT_MS: u64 = 2_500;
+pub const MAX_FAULT_MS: u64 = 2_500;
 /// How long the store keeps the entry of a replaced server, as it does after a crash.
-const STALE_ENTRY_TIME: Duration = Duration::from_millis(1_500);
+pub const STALE_ENTRY_TIME: Duration = Duration::from_millis(1_500);
+/// The share of a planned absence for which a server says that it drains.
+const DRAINING_SHARE: f64 = 0.7;
 
 /// The kind of a fault, with the index of the host or endpoint that it affects, if it affects one.
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +55,12 @@
     Drain(usize),
     /// A new version of the plan is published.
     Plan,
+    /// A server leaves for the duration and starts again under its id; `true` if it drains first.
+    Leave(usize, bool),
+    /// A failure domain is taken out of service.
+    Evacuate(usize),
+    /// The store is away, then returns from a copy.
+    Restore(Restore),
 }
 
 /// One fault of a run.
@@ -60,6 +72,16 @@
     pub kind: FaultKind,
 }
 
+impl Fault {
+    /// Returns when to begin with the fault: a copy is taken before the store goes away.
+    pub fn starts_after(&self) -> Duration {
+        match self.kind {
+            FaultKind::Restore(restore) => self.at.saturating_sub(restore.copy_age),
+            _ => self.at,
+        }
+    }
+}
+
 /// Draws the faults of a seed, ordered by start time; they may overlap.
 pub fn draw(
     seed: u64,
@@ -103,16 +125,17 @@
 
 /// Injects a fault and removes it after its duration; returns a violation if a host does not exit
 /// after SIGTERM. `n` is the number of the fault.
-pub async fn inject(world: Arc<World>, fault: Fault, n: usize) -> io::Result<Option<String>> {
-    tokio::time::sleep(fault.at).await;
+pub async fn inject(world: Arc<World>, fault: Fault, n: usize) -> io::Result<Option<Violation>> {
+    tokio::time::sleep(fault.starts_after()).await;
     match fault.kind {
         FaultKind::Stop(host) => {
             let host = &world.hosts[host];
-            let disruption = host.begin_disruption();
+            let (disruption, intervention) = (host.disruptions.begin(), host.interventions.begin());
             host.signal(Signal::SIGSTOP);
             tokio::time::sleep(fault.duration).await;
             host.signal(Signal::SIGCONT);
-            host.end_disruption(disruption);
+            host.disruptions.end(disruption);
+            host.interventions.end(intervention);
         }
         FaultKind::Kill(host) => kill_and_restart(&world, &[host], fault.duration).await?,
         FaultKind::KillAll => {
@@ -122,13 +145,16 @@
         FaultKind::Term(host) => {
             let host = &world.hosts[host];
             let Some(process_id) = host.process_id() else { return Ok(None) };
+            let intervention = host.interventions.begin();
             host.signal(Signal::SIGTERM);
             let exited = host.wait_for_exit(process_id).await;
             if host.process_id() == Some(process_id) || !exited {
                 host.start()?;
             }
+            host.interventions.end(intervention);
             if !exited {
-                return Ok(Some(format!("{} did not exit in time after SIGTERM", host.ip)));
+                let reason = "a host did not exit in time after SIGTERM";
+                return Ok(Some(Violation { reason, detail: host.ip.to_string() }));
             }
         }
         FaultKind::Hup(host) => world.hosts[host].signal(Signal::SIGHUP),
@@ -138,44 +164,73 @@
             world.endpoints[endpoint].server().set_mode(Mode::Answers);
         }
         FaultKind::Link(endpoint, link_mode) => {
-            world.endpoints[endpoint].proxy.set_mode(link_mode);
+            let endpoint = &world.endpoints[endpoint];
+            let disruption = endpoint.link_disruptions.begin();
+            endpoint.proxy.set_mode(link_mode);
             tokio::time::sleep(fault.duration).await;
-            world.endpoints[endpoint].proxy.set_mode(LinkMode::Whole);
+            endpoint.proxy.set_mode(LinkMode::Whole);
+            endpoint.link_disruptions.end(disruption);
         }
         FaultKind::Store(link_mode) => {
+            let disruption = world.store_disruptions.begin();
             world.store_proxy.set_mode(link_mode);
             tokio::time::sleep(fault.duration).await;
             world.store_proxy.set_mode(LinkMode::Whole);
+            world.store_disruptions.end(disruption);
         }
         FaultKind::Replace(endpoint) => replace(&world, endpoint, n).await?,
         FaultKind::Drain(endpoint) => {
             let endpoint = &world.endpoints[endpoint];
-            let (server, key) = (endpoint.server(), settings::server_key(&endpoint.server().id));
-            let entry = |draining| {
-                settings::server(&server.service, endpoint.proxy.addr, endpoint.domain, draining)
-            };
-            world.store.put(&key, &entry(true)).expect("the store is present");
+            let (key, draining) = endpoint.entry(true);
+            world.writers.write(&key, Some(draining)).await;
             tokio::time::sleep(fault.duration).await;
-            world.store.remove(&key).expect("the store is present");
+            world.writers.write(&key, None).await;
             tokio::time::sleep(fault.duration).await;
-            world.store.put(&key, &entry(false)).expect("the store is present");
+            come_back(&world, endpoint, &key).await;
         }
-        FaultKind::Plan => {
-            let plan = settings::plan(n as u64 + 2, &world.shards, RECORD_COUNT, COVERAGE_FLOOR);
-            world.store.put(settings::PLAN_KEY, &plan).expect("the store is present");
+        FaultKind::Plan => world.writers.write_next_plan(&world.shards).await,
+        FaultKind::Leave(endpoint, drains) => {
+            let endpoint = &world.endpoints[endpoint];
+            let (key, draining) = endpoint.entry(true);
+            if drains {
+                world.writers.write(&key, Some(draining)).await;
+                tokio::time::sleep(fault.duration.mul_f64(DRAINING_SHARE)).await;
+            }
+            world.writers.write(&key, None).await;
+            let rest = if drains { 1.0 - DRAINING_SHARE } else { 1.0 };
+            tokio::time::sleep(fault.duration.mul_f64(rest)).await;
+            come_back(&world, endpoint, &key).await;
+        }
+        FaultKind::Evacuate(domain) => {
+            let key = settings::evacuation_key(DOMAINS[domain]);
+            world.writers.write(&key, Some(json!({ "since": n }))).await;
+            tokio::time::sleep(fault.duration).await;
+            world.writers.write(&key, None).await;
         }
+        FaultKind::Restore(restore) => restore.play(&world, fault.duration).await,
     }
     Ok(None)
 }
 
+/// Registers the server of an endpoint as ready, unless another one has taken its place.
+async fn come_back(world: &World, endpoint: &Endpoint, key: &str) {
+    endpoint.server.lock().expect("no holder of the lock panics").start_again();
+    let (current_key, ready) = endpoint.entry(false);
+    if current_key == key {
+        world.writers.write(key, Some(ready)).await;
+    }
+}
+
 async fn kill_and_restart(world: &World, hosts: &[usize], downtime: Duration) -> io::Result<()> {
     let hosts = hosts.iter().map(|host| &world.hosts[*host]);
-    let killed: Vec<_> = hosts.map(|host| (host, host.begin_disruption())).collect();
-    killed.iter().for_each(|(host, _)| host.kill());
+    let killed: Vec<_> =
+        hosts.map(|host| (host, host.disruptions.begin(), host.interventions.begin())).collect();
+    killed.iter().for_each(|(host, ..)| host.kill());
     tokio::time::sleep(downtime).await;
-    for (host, disruption) in killed {
+    for (host, disruption, intervention) in killed {
         host.start()?;
-        host.end_disruption(disruption);
+        host.disruptions.end(disruption);
+        host.interventions.end(intervention);
     }
     Ok(())
 }
@@ -186,17 +241,19 @@
     let endpoint = &world.endpoints[endpoint];
     let old = endpoint.server();
     let id = format!("{}-{n}", old.id);
-    let new = Server::new(id, old.service.clone(), old.records.clone(), world.run_counts.clone());
+    let new = Server::new(id, old.service.clone(), old.records.clone(), world.request_log.clone());
     let addr = new.serve(world.standin_ip).await?;
+    let disruption = endpoint.link_disruptions.begin();
     endpoint.proxy.set_mode(LinkMode::Reset);
     endpoint.proxy.set_target(addr);
     tokio::time::sleep(Duration::from_millis(50)).await;
     endpoint.proxy.set_mode(LinkMode::Whole);
+    endpoint.link_disruptions.end(disruption);
     *endpoint.server.lock().expect("no holder of the lock panics") = new.clone();
     tokio::time::sleep(STALE_ENTRY_TIME).await;
-    world.store.remove(&settings::server_key(&old.id)).expect("the store is present");
-    let entry = settings::server(&new.service, endpoint.proxy.addr, endpoint.domain, false);
-    world.store.put(&settings::server_key(&new.id), &entry).expect("the store is present");
+    world.writers.write(&settings::server_key(&old.id), None).await;
+    let (key, entry) = endpoint.entry(false);
+    world.writers.write(&key, Some(entry)).await;
     Ok(())
 }
 
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use crate::callers::{Answer, DEADLINE, Outcome, SentRequest};
+use quetzal_platform_standin::settings::added_route_shard;
+
+use crate::bounds;
+use crate::callers::{Answer, DEADLINE, Outcome, Route, SentRequest};
 use crate::world::{COVERAGE_FLOOR, World, records, top_records};
 
 /// How long after its deadline an answer may still arrive, since the machine is shared.
@@ -16,38 +19,67 @@
 /// The minimum share of requests served after the recovery time that follows the last fault.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
+/// A broken promise.
+#[derive(Debug)]
+pub struct Violation {
+    pub reason: &'static str,
+    /// The request or server, and what was seen.
+    pub detail: String,
+}
+
 /// Returns all violations; from `recovered_by` on, requests must be served again.
 pub fn check_invariants(
     world: &World,
     requests: &[SentRequest],
     recovered_by: Instant,
-) -> Vec<String> {
-    let mut violations: Vec<String> =
+) -> Vec<Violation> {
+    let mut violations: Vec<Violation> =
         requests.iter().filter_map(|request| check_request(world, request)).collect();
-    let after_recovery: Vec<&SentRequest> =
-        requests.iter().filter(|request| request.sent_at >= recovered_by).collect();
+    violations.extend(bounds::check(world, requests));
+    let is_owed =
+        |r: &&SentRequest| r.sent_at >= recovered_by && !matches!(r.route, Route::Added(_));
+    let after_recovery: Vec<&SentRequest> = requests.iter().filter(is_owed).collect();
     let is_served =
         |r: &&&SentRequest| matches!(&r.outcome, Outcome::Answered(a) if a.status == 200);
     let served = after_recovery.iter().filter(is_served).count();
     if after_recovery.is_empty() || (served as f64) < after_recovery.len() as f64 * MIN_SERVED_SHARE
     {
-        violations
-            .push(format!("at the end {served} of {} requests were served", after_recovery.len()));
+        let detail = format!("{served} of {}", after_recovery.len());
+        violations.push(Violation { reason: "too few requests were served at the end", detail });
     }
+    violations.extend(check_servers(world, recovered_by));
     violations
 }
 
-fn check_request(world: &World, request: &SentRequest) -> Option<String> {
-    let violation = |reason: &str| Some(format!("{}: {reason}: {:?}", request.id, request.outcome));
+/// Checks that hosts use every ready server at the end of a run.
+fn check_servers(world: &World, recovered_by: Instant) -> Vec<Violation> {
+    let arrivals = world.request_log.arrivals();
+    let used: BTreeSet<&str> = arrivals
+        .iter()
+        .filter(|arrival| arrival.at >= recovered_by)
+        .map(|arrival| arrival.server.as_str())
+        .collect();
+    let ids = world.endpoints.iter().map(|endpoint| endpoint.server().id);
+    ids.filter(|id| !used.contains(id.as_str()))
+        .map(|detail| Violation { reason: "at the end no request reached a server", detail })
+        .collect()
+}
+
+fn check_request(world: &World, request: &SentRequest) -> Option<Violation> {
+    let non_idempotent = request.route == Route::One;
+    let violation = |reason| {
+        let detail = format!("{}: {:?}", request.id, request.outcome);
+        Some(Violation { reason, detail })
+    };
     let runs =
-        world.shards.iter().map(|shard| world.run_counts.runs(shard, &request.id)).sum::<u32>();
-    if request.non_idempotent && runs > 1 {
+        world.shards.iter().map(|shard| world.request_log.runs(shard, &request.id)).sum::<u32>();
+    if non_idempotent && runs > 1 {
         return violation("a non-idempotent request ran more than once");
     }
     let host = world.hosts.iter().find(|host| request.host.ip() == host.ip);
     let disrupted = host.is_none_or(|host| {
         let from = request.sent_at.checked_sub(DISRUPTION_MARGIN).unwrap_or(request.sent_at);
-        host.was_disrupted(from, request.ended_at + DISRUPTION_MARGIN)
+        host.disruptions.overlap(from, request.ended_at + DISRUPTION_MARGIN)
     });
     let answer = match &request.outcome {
         Outcome::Answered(answer) => answer,
@@ -57,31 +89,40 @@
         Outcome::Silent if !disrupted => return violation("the caller got no answer"),
         Outcome::Closed | Outcome::Silent => return None,
     };
-    if request.non_idempotent && runs > 0 && NOT_RUN_STATUSES.contains(&answer.status) {
+    if non_idempotent && runs > 0 && NOT_RUN_STATUSES.contains(&answer.status) {
         return violation("the request ran, but the status of the answer says that it did not");
     }
     if !disrupted && request.ended_at - request.sent_at > DEADLINE + DEADLINE_TOLERANCE {
         return violation("the answer came after its deadline");
     }
-    match answer.status {
-        200 if request.non_idempotent => {
-            check_single(&world.shards, &request.id, answer).and_then(violation)
+    match (answer.status, request.route) {
+        (200, Route::All) => check_gathered(&world.shards, &request.id, answer).and_then(violation),
+        (200, Route::One) => {
+            check_single(&world.shards, 0, &request.id, answer).and_then(violation)
+        }
+        (200, Route::Added(n)) => {
+            let shard = added_route_shard(n, world.shards.len());
+            check_single(&world.shards, shard, &request.id, answer).and_then(violation)
         }
-        200 => check_gathered(&world.shards, &request.id, answer).and_then(violation),
-        429 | 502 | 503 | 504 => None,
+        (429 | 502 | 503 | 504, _) | (404, Route::Added(_)) => None,
         _ => violation("unexpected status"),
     }
 }
 
-/// Checks an answer that one server of the first shard gave.
-fn check_single(shards: &[String], id: &str, answer: &Answer) -> Option<&'static str> {
+/// Checks an answer that one server of a shard gave.
+fn check_single(
+    shards: &[String],
+    expected: usize,
+    id: &str,
+    answer: &Answer,
+) -> Option<&'static str> {
     let [signature] = &answer.signatures[..] else {
         return Some("the answer does not have exactly one signature");
     };
     let fields: Vec<&str> = signature.split('/').collect();
     match fields[..] {
-        [shard, _server, request] if shard == shards[0] && request == id => {
-            (answer.body != records(0)).then_some("the body is not that of the server")
+        [shard, _server, request] if shard == shards[expected] && request == id => {
+            (answer.body != records(expected)).then_some("the body is not that of the server")
         }
         _ => Some("the signature is of another request or shard"),
     }
--- a/soak/src/invariants/tests.rs
+++ b/soak/src/invariants/tests.rs
@@ -127,6 +127,6 @@
             missing: 0,
             body: records(case.body_of).into(),
         };
-        assert_eq!(check_single(&shards, "r", &answer), case.violation, "{}", case.name);
+        assert_eq!(check_single(&shards, 0, "r", &answer), case.violation, "{}", case.name);
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,22 +1,30 @@
 //! The fault soak: runs real daemons under faults drawn from a seed; see `docs/SOAK.md`.
 
+mod bounds;
 mod callers;
 mod faults;
 mod invariants;
+mod periods;
 mod proxy;
+mod restore;
+mod timeline;
 mod world;
+mod writers;
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
 use miette::IntoDiagnostic;
+use quetzal_platform_standin::settings::CALLER_PORT;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::callers::SentRequests;
-use crate::world::World;
+use crate::invariants::Violation;
+use crate::world::{Host, World};
 
 /// The time that hosts get to start before callers send the first requests.
 const WARM_UP: Duration = Duration::from_millis(1_500);
@@ -36,7 +44,7 @@
     #[bpaf(long, argument("N"), fallback(1))]
     count: u64,
     /// How long each seed runs, in seconds
-    #[bpaf(long, argument("S"), fallback(24), guard(|s| *s >= 16, "give at least 16 seconds"))]
+    #[bpaf(long, argument("S"), fallback(30), guard(|s| *s >= 16, "give at least 16 seconds"))]
     seconds: u64,
     /// Number of hosts
     #[bpaf(long, argument("N"), fallback(4), guard(|n| (1..=250).contains(n), "give 1 to 250"))]
@@ -47,6 +55,9 @@
     /// Number of faults
     #[bpaf(long, argument("N"), fallback(10))]
     faults: usize,
+    /// Number of times that the store returns from an older copy, besides the other faults
+    #[bpaf(long, argument("N"), fallback(2))]
+    restores: usize,
     /// Path of the daemon; by default quetzal-platform in the directory of this program
     #[bpaf(long, argument("FILE"), optional)]
     daemon: Option<PathBuf>,
@@ -74,7 +85,7 @@
         }
         failed += 1;
         println!("seed {seed}: {} broken promises; logs in {}", violations.len(), folder.display());
-        violations.iter().take(5).for_each(|violation| println!("  {violation}"));
+        print_violations(&violations);
     }
     println!("{} of {} seeds kept every promise", options.count - failed, options.count);
     Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
@@ -86,13 +97,14 @@
     seed: u64,
     daemon: &Path,
     folder: &Path,
-) -> std::io::Result<Vec<String>> {
+) -> std::io::Result<Vec<Violation>> {
     let length = Duration::from_secs(options.seconds);
     let subnet = (seed % SUBNETS) as u8;
-    let world = World::start(subnet, options.hosts, daemon, folder).await?;
+    let world = World::start(subnet, seed, options.hosts, daemon, folder).await?;
     let started_at = Instant::now();
     let (hosts, endpoints) = (world.hosts.len(), world.endpoints.len());
-    let planned_faults = faults::draw(seed, options.faults, length, hosts, endpoints);
+    let mut planned_faults = faults::draw(seed, options.faults, length, hosts, endpoints);
+    planned_faults.extend(restore::draw(seed, options.restores, length, hosts, endpoints));
     println!("seed {seed}: {}", summary(&planned_faults));
     let injections: Vec<_> = planned_faults
         .into_iter()
@@ -106,7 +118,13 @@
         let rng = SmallRng::seed_from_u64(seed ^ (n as u64 + 1) << 32);
         tokio::spawn(callers::run(world.clone(), n, rng, requests.clone(), stop_at))
     };
-    let callers: Vec<_> = (0..options.callers).map(caller).collect();
+    let probe = |(n, host): (usize, &Host)| {
+        let rng = SmallRng::seed_from_u64(!seed ^ (n as u64 + 1) << 32);
+        let addr = (host.ip, CALLER_PORT).into();
+        tokio::spawn(callers::probe(world.clone(), addr, rng, requests.clone(), stop_at))
+    };
+    let callers: Vec<_> =
+        (0..options.callers).map(caller).chain(world.hosts.iter().enumerate().map(probe)).collect();
     let mut violations = Vec::new();
     for injection in injections {
         violations.extend(injection.await.map_err(std::io::Error::other)??);
@@ -120,10 +138,27 @@
     let served = requests
         .iter()
         .filter(|r| matches!(&r.outcome, callers::Outcome::Answered(a) if a.status == 200));
-    println!("seed {seed}: {} of {} requests served", served.count(), requests.len());
+    println!(
+        "seed {seed}: {} of {} requests served, {} calls to the store",
+        served.count(),
+        requests.len(),
+        world.writers.store.calls()
+    );
     Ok(violations)
 }
 
+/// Prints the number of violations for each reason, with the first ones.
+fn print_violations(violations: &[Violation]) {
+    let mut by_reason: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for violation in violations {
+        by_reason.entry(violation.reason).or_default().push(&violation.detail);
+    }
+    for (reason, details) in by_reason {
+        println!("  {} x {reason}", details.len());
+        details.iter().take(3).for_each(|detail| println!("    {detail}"));
+    }
+}
+
 fn summary(faults: &[faults::Fault]) -> String {
     let describe = |f: &faults::Fault| {
         format!("{:.1}s {:?} {:.1}s", f.at.as_secs_f64(), f.kind, f.duration.as_secs_f64())
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -10,11 +10,16 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use quetzal_platform_standin::server::{RunCounts, Server};
+use quetzal_platform_standin::server::{RequestLog, Server};
 use quetzal_platform_standin::settings;
 use quetzal_platform_standin::store::Store;
 
+use serde_json::Value;
+
+use crate::periods::Periods;
 use crate::proxy::Proxy;
+use crate::timeline::STABLE_WINDOW;
+use crate::writers::Writers;
 
 /// The failure domains.
 pub const DOMAINS: [&str; 2] = ["north", "south"];
@@ -32,13 +37,6 @@
 /// another fault may stop it meanwhile.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// A period in which a fault affected a host, so that its callers may get no answer.
-#[derive(Debug, Clone, Copy)]
-pub struct Disruption {
-    pub from: Instant,
-    pub until: Option<Instant>,
-}
-
 /// One host and its process.
 #[derive(Debug)]
 pub struct Host {
@@ -47,7 +45,11 @@
     log: PathBuf,
     daemon: PathBuf,
     child: Mutex<Option<Child>>,
-    disruptions: Mutex<Vec<Disruption>>,
+    starts: Mutex<Vec<Instant>>,
+    /// The periods in which a fault affected the host, so that its callers may get no answer.
+    pub disruptions: Periods,
+    /// The periods in which the host was started, signalled or without its process.
+    pub interventions: Periods,
 }
 
 impl Host {
@@ -61,6 +63,8 @@
             .stderr(Stdio::from(log))
             .spawn()?;
         *self.lock() = Some(child);
+        self.lock_starts().push(Instant::now());
+        self.interventions.end(self.interventions.begin());
         Ok(())
     }
 
@@ -107,30 +111,23 @@
         }
     }
 
-    /// Records that callers may get no answer from now on; returns the index of the disruption.
-    pub fn begin_disruption(&self) -> usize {
-        let mut all = self.lock_disruptions();
-        all.push(Disruption { from: Instant::now(), until: None });
-        all.len() - 1
-    }
-
-    /// Records that a disruption is over.
-    pub fn end_disruption(&self, index: usize) {
-        self.lock_disruptions()[index].until = Some(Instant::now());
+    /// Returns the number of starts up to a moment, which names the process of that moment.
+    pub fn starts(&self, by: Instant) -> usize {
+        self.lock_starts().iter().filter(|at| **at <= by).count()
     }
 
-    /// Returns whether a disruption of the host overlaps a period.
-    pub fn was_disrupted(&self, from: Instant, until: Instant) -> bool {
-        let overlaps = |d: &Disruption| d.from <= until && d.until.is_none_or(|end| end >= from);
-        self.lock_disruptions().iter().any(overlaps)
+    /// Returns whether the host ran without intervention for the stable window before a period
+    /// and throughout the period.
+    pub fn is_steady(&self, from: Instant, until: Instant) -> bool {
+        !self.interventions.overlap(from.checked_sub(STABLE_WINDOW).unwrap_or(from), until)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
         self.child.lock().expect("no holder of the lock panics")
     }
 
-    fn lock_disruptions(&self) -> std::sync::MutexGuard<'_, Vec<Disruption>> {
-        self.disruptions.lock().expect("no holder of the lock panics")
+    fn lock_starts(&self) -> std::sync::MutexGuard<'_, Vec<Instant>> {
+        self.starts.lock().expect("no holder of the lock panics")
     }
 }
 
@@ -146,6 +143,8 @@
     pub domain: &'static str,
     pub proxy: Proxy,
     pub server: Mutex<Server>,
+    /// The periods in which connections to the server were disrupted.
+    pub link_disruptions: Periods,
 }
 
 impl Endpoint {
@@ -153,6 +152,14 @@
     pub fn server(&self) -> Server {
         self.server.lock().expect("no holder of the lock panics").clone()
     }
+
+    /// Returns the key and the entry of the current server.
+    pub fn entry(&self, draining: bool) -> (String, Value) {
+        let server = self.server();
+        let (service, born_ms) = (&server.service, server.born_ms);
+        let entry = settings::server(service, self.proxy.addr, self.domain, draining, born_ms);
+        (settings::server_key(&server.id), entry)
+    }
 }
 
 /// The hosts, the backend servers and the store of one run.
@@ -160,9 +167,11 @@
 pub struct World {
     pub hosts: Vec<Host>,
     pub endpoints: Vec<Endpoint>,
-    pub store: Store,
+    pub writers: Arc<Writers>,
     pub store_proxy: Proxy,
-    pub run_counts: RunCounts,
+    /// The periods in which the store was away or disrupted.
+    pub store_disruptions: Periods,
+    pub request_log: RequestLog,
     pub shards: Vec<String>,
     pub standin_ip: Ipv4Addr,
 }
@@ -188,30 +197,42 @@
 }
 
 impl World {
+    /// Returns whether the store was undisturbed for the stable window before a period and
+    /// throughout the period.
+    pub fn store_is_stable(&self, from: Instant, until: Instant) -> bool {
+        !self.store_disruptions.overlap(from.checked_sub(STABLE_WINDOW).unwrap_or(from), until)
+    }
+
     /// Starts stand-ins and hosts. Concurrent runs need different values of `subnet`, which is part
     /// of their addresses.
     pub async fn start(
         subnet: u8,
+        seed: u64,
         hosts: u8,
         daemon: &Path,
         folder: &Path,
     ) -> io::Result<Arc<Self>> {
         let standin_ip = Ipv4Addr::new(127, 9, subnet, 1);
-        let (store, run_counts) = (Store::default(), RunCounts::default());
+        let (store, request_log) = (Store::default(), RequestLog::default());
         let store_proxy = Proxy::start(standin_ip, store.serve(standin_ip).await?).await?;
         let shards: Vec<String> = (0..SHARDS).map(|n| format!("shard-{n}")).collect();
-        store
-            .put(settings::PLAN_KEY, &settings::plan(1, &shards, RECORD_COUNT, COVERAGE_FLOOR))
-            .expect("the store is present");
+        let writers = Arc::new(Writers::new(store, seed));
+        writers.write_next_plan(&shards).await;
         let mut endpoints = Vec::new();
         for (n, shard) in shards.iter().enumerate() {
             for domain in DOMAINS {
                 let id = format!("{shard}-{domain}");
-                let server = Server::new(id, shard.clone(), records(n), run_counts.clone());
+                let server = Server::new(id, shard.clone(), records(n), request_log.clone());
                 let proxy = Proxy::start(standin_ip, server.serve(standin_ip).await?).await?;
-                let entry = settings::server(shard, proxy.addr, domain, false);
-                store.put(&settings::server_key(&server.id), &entry).expect("the store is present");
-                endpoints.push(Endpoint { domain, proxy, server: Mutex::new(server) });
+                let endpoint = Endpoint {
+                    domain,
+                    proxy,
+                    server: Mutex::new(server),
+                    link_disruptions: Periods::default(),
+                };
+                let (key, entry) = endpoint.entry(false);
+                writers.write(&key, Some(entry)).await;
+                endpoints.push(endpoint);
             }
         }
         let ips: Vec<Ipv4Addr> = (0..hosts).map(|n| Ipv4Addr::new(127, 8, subnet, n + 1)).collect();
@@ -226,12 +247,23 @@
                 log: folder.join(format!("{ip}.log")),
                 daemon: daemon.into(),
                 child: Mutex::default(),
-                disruptions: Mutex::default(),
+                starts: Mutex::default(),
+                disruptions: Periods::default(),
+                interventions: Periods::default(),
             };
             host.start()?;
             Ok(host)
         };
         let hosts = ips.iter().enumerate().map(host).collect::<io::Result<Vec<_>>>()?;
-        Ok(Arc::new(Self { hosts, endpoints, store, store_proxy, run_counts, shards, standin_ip }))
+        Ok(Arc::new(Self {
+            hosts,
+            endpoints,
+            writers,
+            store_proxy,
+            store_disruptions: Periods::default(),
+            request_log,
+            shards,
+            standin_ip,
+        }))
     }
 }
