Give concurrent soaks of one seed different addresses

Cause: two processes that ran the same seed, or two seeds 200 apart, used the same loopback addresses: hosts stopped on 'Address already in use', and callers of one run reached hosts of the other ('a non-idempotent request ran more than once', seeds 1001 to 1004 run by two processes at once).

Change: a run holds a port of its subnet and takes the next one if it is held.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,6 +12,8 @@
 mod writers;
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -32,6 +34,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 /// Concurrent runs use different subnets of the loopback network; this is how many there are.
 const SUBNETS: u64 = 200;
+/// A run listens on this port of its subnet, so that a concurrent one takes another subnet.
+const CLAIM_PORT: u16 = 18_098;
 
 /// Run real daemons under faults drawn from a seed
 #[derive(Debug, Clone, Bpaf)]
@@ -99,7 +103,7 @@
     folder: &Path,
 ) -> std::io::Result<Vec<Violation>> {
     let length = Duration::from_secs(options.seconds);
-    let subnet = (seed % SUBNETS) as u8;
+    let (subnet, _claim) = claim_subnet(seed)?;
     let world = World::start(subnet, seed, options.hosts, daemon, folder).await?;
     let started_at = Instant::now();
     let (hosts, endpoints) = (world.hosts.len(), world.endpoints.len());
@@ -147,6 +151,19 @@
     Ok(violations)
 }
 
+/// Returns the first free subnet for a seed; it is taken until the listener is dropped.
+fn claim_subnet(seed: u64) -> std::io::Result<(u8, TcpListener)> {
+    let claim = |n: u64| -> std::io::Result<(u8, TcpListener)> {
+        let subnet = (n % SUBNETS) as u8;
+        Ok((subnet, TcpListener::bind((Ipv4Addr::new(127, 9, subnet, 1), CLAIM_PORT))?))
+    };
+    let mut claims = (seed..seed + SUBNETS).map(claim);
+    let is_taken = |error: &std::io::Error| error.kind() == ErrorKind::AddrInUse;
+    claims
+        .find(|claim| !claim.as_ref().is_err_and(is_taken))
+        .unwrap_or_else(|| Err(ErrorKind::AddrInUse.into()))
+}
+
 /// Prints the number of violations for each reason, with the first ones.
 fn print_violations(violations: &[Violation]) {
     let mut by_reason: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
