Let entries of live servers lapse when the store returns

Cause: entries may also expire while the store is away, and are back within two seconds; the soak had no such case.

Change: at a restore none, two or all entries lapse and are written again.

--- a/soak/src/restore.rs
+++ b/soak/src/restore.rs
@@ -47,6 +47,8 @@
     pub page_delay: Duration,
     pub stale_reads: StaleReads,
     pub forgets_history: bool,
+    /// The number of servers whose entries lapse at the return, although they are alive.
+    pub lapsed_entries: usize,
 }
 
 impl Restore {
@@ -69,6 +71,7 @@
             page_delay: ms(*[0, 0, 30, 200].choose(rng).expect("there are delays")),
             stale_reads: *stale_reads.choose(rng).expect("there are kinds"),
             forgets_history: rng.random_bool(0.1),
+            lapsed_entries: *[0, 0, 2, 12].choose(rng).expect("there are counts"),
         }
     }
 
@@ -89,7 +92,7 @@
             StaleReads::PresentEra => Some(before.labelled(store.era() + 1)),
         });
         store.set_page_delay(self.page_delay);
-        world.writers.restore(&copy, self.waiting);
+        world.writers.restore(&copy, self.waiting, self.lapsed_entries);
         if self.forgets_history {
             store.forget_history();
         }
--- a/soak/src/writers.rs
+++ b/soak/src/writers.rs
@@ -8,6 +8,7 @@
 use quetzal_platform_standin::settings::{self, BEAT_MS, PLAN_KEY, SERVER_PREFIX};
 use quetzal_platform_standin::store::{Copy, Store, WaitingWatches};
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
@@ -69,14 +70,21 @@
         let _ = self.store.put("load/0", &json!({}));
     }
 
-    /// Lets the store return from a copy; the writers write again what it lost, each after a time
-    /// of its own.
-    pub fn restore(self: &Arc<Self>, copy: &Copy, waiting: WaitingWatches) {
+    /// Lets the store return from a copy, with the entries of some live servers lapsed; the writers
+    /// write again what is missing, each after a time of its own.
+    pub fn restore(self: &Arc<Self>, copy: &Copy, waiting: WaitingWatches, lapsed: usize) {
         let mut state = self.lock();
         self.store.restore(copy, waiting);
         state.timeline.on_restored(Instant::now(), copy);
         let State { wanted, rng, .. } = &mut *state;
-        let lost = wanted.iter().filter(|(key, value)| copy.value(key) != **value);
+        let is_live = |(key, value): &(&String, &Option<Value>)| {
+            key.starts_with(SERVER_PREFIX) && value.as_ref().is_some_and(settings::is_ready)
+        };
+        for (key, _) in wanted.iter().filter(is_live).sample(rng, lapsed) {
+            // Nothing is lost if the store is away again.
+            let _ = self.store.remove(key);
+        }
+        let lost = wanted.iter().filter(|(key, value)| self.store.value(key) != **value);
         for (key, value) in lost {
             let is_left = key.starts_with(SERVER_PREFIX) && value.is_none();
             let notice = Duration::from_millis(rng.random_range(0..MAX_NOTICE_MS));
