Let the property's model of the exchange follow the present one

It now sends removals, the complete state to hosts that lack changes, and whether the sender knows an earlier epoch.

--- a/src/stateful/property_tests.rs
+++ b/src/stateful/property_tests.rs
@@ -164,8 +164,15 @@
     changes: Vec<Change>,
     up_to: Position,
     whole: bool,
-    /// What only another host adds: how long ago the source recovered, and what it retains.
-    from_peer: Option<(Option<Duration>, Vec<Withheld>)>,
+    from_peer: Option<FromPeer>,
+}
+
+/// What only another host adds.
+#[derive(Clone)]
+struct FromPeer {
+    recovered_ago: Option<Duration>,
+    knows_earlier: bool,
+    withheld: Vec<Withheld>,
 }
 
 /// A registry, and what it has been told that forbids requests.
@@ -184,17 +191,19 @@
     /// Returns the facts that another host gets which is at a position.
     fn facts_after(&self, now: Monotonic, known: Position) -> Delivery {
         let up_to = self.registry.position();
-        let whole = known.epoch < up_to.epoch;
-        let changes = if whole {
-            self.registry.snapshot(now)
-        } else if known.epoch == up_to.epoch {
-            self.registry.changes_after(known.revision, now)
-        } else {
+        let lacks_changes = !self.registry.has_changes_after(known.revision);
+        let whole = known.epoch < up_to.epoch || (known.epoch == up_to.epoch && lacks_changes);
+        let after = if whole { 0 } else { known.revision };
+        let changes = if known.epoch > up_to.epoch {
             Vec::new()
+        } else {
+            self.registry.changes_after(after, now)
         };
-        let after = if whole { 0 } else { known.revision };
-        let recovered_ago = self.registry.source_recovered_ago(now);
-        let from_peer = Some((recovered_ago, self.registry.withheld(now)));
+        let from_peer = Some(FromPeer {
+            recovered_ago: self.registry.source_recovered_ago(now),
+            knows_earlier: self.registry.knows_earlier_epoch(),
+            withheld: self.registry.withheld(now),
+        });
         Delivery { after, changes, up_to, whole, from_peer }
     }
 
@@ -207,10 +216,12 @@
             return;
         }
         match &from_peer {
-            Some((ago, _)) => {
-                ago.iter().for_each(|ago| self.registry.on_peer_reported_recovery(now, *ago));
+            Some(FromPeer { recovered_ago, .. }) => {
+                recovered_ago
+                    .iter()
+                    .for_each(|ago| self.registry.on_peer_reported_recovery(now, *ago));
             }
-            None if enters => self.registry.on_source_restored(now),
+            None if enters && before.revision > 0 => self.registry.on_source_restored(now),
             None => {}
         }
         if enters {
@@ -241,8 +252,8 @@
             let is_complete = after <= before.revision && up_to > before;
             self.registry.apply(now, changes, if is_complete { up_to } else { before });
         }
-        if let Some((_, withheld)) = from_peer {
-            self.registry.on_peer_withholds(now, withheld);
+        if let Some(FromPeer { knows_earlier, withheld, .. }) = from_peer {
+            self.registry.on_peer_withholds(now, up_to, knows_earlier, withheld);
         }
     }
 
