--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -111,15 +111,7 @@
     series: PlanSeries,
 ) -> bool {
     let version = document.version;
-    let in_force = tier.plan.load();
-    let order = PlanOrder { series, version };
-    if order == in_force.order() && version > 0 && document != **in_force.document() {
-        tracing::error!(
-            version,
-            "a plan has the version in force and other content; it is ignored"
-        );
-    }
-    if order <= tier.plan.load().order() {
+    if (PlanOrder { series, version }) <= tier.plan.load().order() {
         return false;
     }
     match Plan::new(document) {
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -37,9 +37,10 @@
 
 async fn follow<B: BackendProtocol>(tier: Arc<Tier<B>>, mut source: impl Source) {
     let mut whole = true;
-    // There is a delay before a complete read directly after another one; otherwise a source that
-    // can't be followed from the position of its own state would get calls without end.
+    // Two complete reads in a row are delayed; otherwise a source whose changes can't be read after
+    // its own state would get calls without end.
     let mut after_whole = false;
+    // The epochs that this host has read completely itself.
     let mut read_of = None;
     let mut lost_plan = LostPlan::default();
     let mut backoff = MIN_BACKOFF;
@@ -206,7 +207,7 @@
         tracing::warn!(
             version,
             in_force = in_force.version,
-            "the platform holds an older plan than the one in force, which stays for now"
+            "the platform holds an older or another plan than the one in force, which stays for now"
         );
     } else {
         fact_exchange::adopt(tier, document, in_force.series);
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -168,8 +168,8 @@
     first_revision: Revision,
     /// When the present epoch was entered.
     entered_at: Monotonic,
-    /// The revision of the latest complete state. It does not tell what was removed before, so an
-    /// unknown key with an earlier change was removed since.
+    /// The revision of the latest complete state. A server or failure domain that is unknown although
+    /// a change of it is older than this state was removed before it.
     snapshot_revision: Revision,
     /// Whether there was an earlier epoch, from which facts may be retained.
     was_restored: bool,
@@ -302,7 +302,7 @@
             |(domain, state): &(&DomainId, &DomainState)| state.out && !out.contains(*domain);
         let readmitted: Vec<DomainId> =
             self.domains.iter().filter(is_readmitted).map(|(domain, _)| domain.clone()).collect();
-        // A newer state may list what an older one did not; an older one may not.
+        // A state that is newer than everything known may list any server.
         let snapshot_revision = self.snapshot_revision;
         if up_to > self.position {
             self.snapshot_revision = 0;
