--- a/src/process/servers/registry/tests.rs
+++ b/src/process/servers/registry/tests.rs
@@ -328,3 +328,35 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against a host that lagged in the earlier epoch and makes hosts that knew more withhold what
+/// they use, for the whole retention time.
+#[test]
+fn peer_that_lagged_in_the_earlier_epoch_does_not_withhold_what_was_in_use_later() {
+    let draining =
+        |revision| Change { revision, fact: Fact::Server("a".into(), Some(record("a", false))) };
+    let out = |revision, out| Change { revision, fact: Fact::DomainOut("north".into(), out) };
+    let cases = [
+        ("server", vec![draining(80)], vec![draining(80), up("a", 90)]),
+        ("domain", vec![out(80, true)], vec![out(80, true), out(90, false)]),
+    ];
+    let mut wrong = Vec::new();
+    for (name, known_to_lagging, known_to_current) in cases {
+        let (mut lagging, mut current) = (Registry::default(), Registry::default());
+        for (registry, changes, up_to) in
+            [(&mut lagging, known_to_lagging, 80), (&mut current, known_to_current, 90)]
+        {
+            registry.apply(START, vec![up("a", 40)], at(40));
+            registry.apply(START, changes, at(up_to));
+            enter(registry, START, vec![up("a", 40)], in_epoch(1, 60));
+        }
+        assert!(current.view().may_send("a"), "{name}: it was in use at the end of the epoch");
+        let withheld = lagging.withheld(START);
+        assert_eq!(withheld.len(), 1, "{name}");
+        current.on_peer_withholds(START, in_epoch(1, 60), true, withheld);
+        if !current.view().may_send("a") {
+            wrong.push(name);
+        }
+    }
+    assert!(wrong.is_empty(), "withheld: {wrong:?}");
+}
--- a/tests/tier/restarted_servers.rs
+++ b/tests/tier/restarted_servers.rs
@@ -46,3 +46,31 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against a pool that does not know the address of the only connection that it has to a server,
+/// since that one was opened when it had none, and reuses it after the server has started elsewhere.
+#[tokio::test(start_paused = true)]
+async fn first_connection_to_a_server_is_not_reused_after_its_restart_elsewhere() {
+    let mut wrong = Vec::new();
+    for earlier in [Mode::Unreachable, Mode::CutOff, Mode::Replaced, Mode::Answers] {
+        let mut host = TestHost::new(1);
+        let leaves = Fact::Server(server_record(0, SOUTH).id, None);
+        host.apply_changes(vec![Change { revision: 2, fact: leaves }], 2);
+        host.serve("one").await;
+        let restarted_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000));
+        host.servers.set_behaviour(addr(0, NORTH), earlier, PROCESSING_TIME);
+        host.servers.set_behaviour(restarted_addr, Mode::Answers, PROCESSING_TIME);
+        let record = ServerRecord { addr: restarted_addr, ..server_record(0, NORTH) };
+        let fact = Fact::Server(record.id.clone(), Some(record));
+        host.apply_changes(vec![Change { revision: 3, fact }], 3);
+        let before = host.servers.stats().arrivals;
+        let (served, took) = host.serve("one").await;
+        let stats = host.servers.stats();
+        let arrivals = stats.arrivals - before;
+        let last = stats.runs.last().map(|(_, addr)| *addr);
+        if arrivals != 1 || last != Some(restarted_addr) {
+            wrong.push(format!("{earlier:?}: {arrivals} arrivals, {:?}, {took:?}", served.outcome));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/tests/tier/restored_source.rs
+++ b/tests/tier/restored_source.rs
@@ -902,3 +902,33 @@
         assert!(!usable, "epoch {epoch}: a removed server is still in use");
     }
 }
+
+/// Guards against a host that reads everything again without end, since the plan that must replace the
+/// one in force is not valid. Each complete read takes several calls.
+#[tokio::test(start_paused = true)]
+async fn plan_that_can_not_replace_the_one_in_force_is_not_read_without_end() {
+    /// One complete read a second would already be more than the watch that it replaces.
+    const MAX_READS_IN_10_S: usize = 10;
+    let cases = [("lower version", 3), ("same version", 5)];
+    let mut wrong = Vec::new();
+    for (name, version) in cases {
+        let host = TestHost::new(1);
+        fact_exchange::adopt(&host.tier, plan_of(&host, 5), 0);
+        let source = RestorableSource::default();
+        let mut invalid = plan_of(&host, version);
+        invalid.routes.push(invalid.routes[0].clone());
+        source.write_plan(&invalid);
+        source.write_server(&server());
+        let reader_task = tokio::spawn(reader::run(host.tier.clone(), source.clone()));
+        tokio::time::sleep(LOST_PLAN_RETENTION + Duration::from_secs(2)).await;
+        let reads = || source.calls().iter().filter(|call| **call == SourceCall::All).count();
+        let before = reads();
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let reads = reads() - before;
+        if reads > MAX_READS_IN_10_S {
+            wrong.push(format!("{name}: {reads} complete reads in 10 s"));
+        }
+        reader_task.abort();
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
