FAILING: test that an own complete read corrects a peer's state at the same revision

The registry ignores unknown keys up to snapshot_revision also if the complete read is as new as everything known (up_to == position). Before there was no such floor. How a peer's state comes to lack a key has not been shown; the reader reads each epoch itself for this very case (comment at read_of).

--- a/src/process/servers/registry/tests.rs
+++ b/src/process/servers/registry/tests.rs
@@ -360,3 +360,26 @@
     }
     assert!(wrong.is_empty(), "withheld: {wrong:?}");
 }
+
+/// Guards against a live server or an evacuation that is hidden for good, since a peer's complete state
+/// lacked it and the host's own complete read shows the same revision, as nothing has changed.
+#[test]
+fn own_complete_read_at_the_revision_of_a_peers_state_corrects_it() {
+    let out = Change { revision: 41, fact: Fact::DomainOut("north".into(), true) };
+    let cases = [
+        ("server", vec![], vec![up("a", 40)], true),
+        ("evacuation", vec![up("a", 40)], vec![up("a", 40), out], false),
+    ];
+    let mut wrong = Vec::new();
+    for epoch in [0, 1] {
+        for (name, from_peer, read, usable) in cases.clone() {
+            let mut registry = Registry::default();
+            registry.apply_snapshot(START, from_peer, in_epoch(epoch, 60));
+            registry.apply_snapshot(START, read, in_epoch(epoch, 60));
+            if registry.view().may_send("a") != usable {
+                wrong.push(format!("epoch {epoch}, {name}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "hidden: {wrong:?}");
+}
