--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -63,7 +63,7 @@
 
 fn extension() -> FactsExtension {
     let server = WithheldSubject::Server { id: "s".into(), revision: 41, lost_revision: 90 };
-    let domain = WithheldSubject::Domain("d".into());
+    let domain = WithheldSubject::Domain { domain: "d".into(), lost_revision: 70 };
     FactsExtension {
         epochs: EPOCHS,
         whole: true,
--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -72,7 +72,8 @@
         idle_for: Duration,
     ) -> Option<L> {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
-        let entry = servers.get_mut(server)?;
+        // The address must be known before the first connection is opened.
+        let entry = servers.entry(server.into()).or_default();
         if entry.addr.replace(addr).is_some_and(|known| known != addr) {
             entry.invalidate(now);
         }
--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use crate::clock::millis;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::peer_frame::{Facts, FactsExtension, Frame, Known};
@@ -186,14 +188,14 @@
     let now = tier.now();
     let (position, asks) =
         tier.registry(|registry| (registry.position(), registry.asks_peers(now)));
-    let knows_more = |h: &&Heartbeat| {
-        let may_withhold = || h.position().is_some_and(|at| at.epoch >= position.epoch);
-        h.position() > Some(position)
-            || h.plan_order() > known.plan_order()
-            || (asks && may_withhold())
-    };
+    let knows_more =
+        |h: &&Heartbeat| h.position() > Some(position) || h.plan_order() > known.plan_order();
+    // The next host asked may know an earlier epoch if this one does not.
+    let may_withhold =
+        |h: &&Heartbeat| asks && h.position().is_some_and(|at| at.epoch >= position.epoch);
     let rank = |h: &&Heartbeat| (h.domain == own, h.position(), h.plan_order());
     let best = fleet.up.iter().filter(knows_more).max_by_key(rank);
+    let best = best.or_else(|| fleet.up.iter().filter(may_withhold).choose(&mut rand::rng()));
     if let Some(host) = best {
         tier.peers.send(host.ip, tier.settings.peer_port, Frame::Pull(known));
     }
--- a/src/process/configuration/lost_plan.rs
+++ b/src/process/configuration/lost_plan.rs
@@ -28,7 +28,12 @@
             return false;
         }
         let since = *self.since.get_or_insert(now);
-        complete && now.saturating_sub(since) >= LOST_PLAN_RETENTION
+        let replaces = complete && now.saturating_sub(since) >= LOST_PLAN_RETENTION;
+        if replaces {
+            // The plan may turn out to be invalid; then the source is read again as late.
+            self.since = Some(now);
+        }
+        replaces
     }
 
     /// Returns whether the source must be read completely to see which plan it holds now.
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -9,7 +9,7 @@
 use super::lost_plan::LostPlan;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::source::{Source, SourceError, SourceUpdate};
-use crate::position::{PlanOrder, Position};
+use crate::position::{Epochs, PlanOrder, Position};
 use crate::process::membership::members::Heartbeat;
 use crate::process::servers::registry::Registry;
 use crate::process::tier::Tier;
@@ -70,10 +70,11 @@
             Ok(update) => {
                 backoff = MIN_BACKOFF;
                 let changed = update.plan.is_some() || !update.changes.is_empty();
+                let read_epoch = update.up_to.epoch;
                 let same_series = tier.plan.load().series == before.plan_order().series;
                 on_source_update(&tier, update, whole, before.plan_order(), &mut lost_plan);
                 if whole {
-                    read_of = same_series.then(|| tier.epochs());
+                    read_of = same_series.then(|| Epochs { source: read_epoch, ..tier.epochs() });
                 }
                 fact_exchange::push(&tier, before);
                 after_whole = std::mem::replace(&mut whole, false);
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -116,10 +116,11 @@
     cold_until: Monotonic,
     /// The end of the grace period, if the entry lapsed during an outage of the source.
     grace_until: Option<Monotonic>,
-    /// The revision, in an earlier epoch, of the report that the server is leaving or removed, if the
-    /// server has not reported in this epoch.
-    lost_revision: Option<Revision>,
-    /// The end of the time for which the server gets no requests because of that report.
+    /// The revision, in an earlier epoch, of the last known report of the server, if the present epoch
+    /// may have lost it.
+    earlier_revision: Option<Revision>,
+    /// The end of the time for which the server gets no requests, if by that report it was leaving or
+    /// removed.
     withheld_until: Option<Monotonic>,
 }
 
@@ -134,6 +135,8 @@
 struct DomainState {
     revision: Revision,
     out: bool,
+    /// The revision, in an earlier epoch, of the last known report of the failure domain.
+    earlier_revision: Option<Revision>,
     /// The end of the time for which the failure domain stays out because an earlier epoch reported
     /// it so, and the present one may only have lost that.
     withheld_until: Option<Monotonic>,
@@ -302,9 +305,9 @@
             |(domain, state): &(&DomainId, &DomainState)| state.out && !out.contains(*domain);
         let readmitted: Vec<DomainId> =
             self.domains.iter().filter(is_readmitted).map(|(domain, _)| domain.clone()).collect();
-        // A state that is newer than everything known may list any server.
+        // A state that is as new as everything known may list any server.
         let snapshot_revision = self.snapshot_revision;
-        if up_to > self.position {
+        if up_to >= self.position {
             self.snapshot_revision = 0;
         }
         self.apply(now, changes, up_to);
@@ -343,8 +346,10 @@
             let reported = earlier.revision > earlier_first;
             self.retain_server(now, id, earlier, reported);
         }
-        for (domain, _) in domains.into_iter().filter(|(_, earlier)| earlier.is_out()) {
-            self.withhold_domain(domain, now + self.retention);
+        for (domain, earlier) in domains {
+            let until = earlier.is_out().then_some(now + self.retention);
+            let earlier_revision = earlier.earlier_revision.unwrap_or(earlier.revision);
+            self.retain_domain(domain, earlier_revision, until);
         }
         let servers = self.servers.values();
         let change = EpochChange {
@@ -368,42 +373,52 @@
     /// reported in that epoch, rather than retained from one before.
     fn retain_server(&mut self, now: Monotonic, id: ServerId, earlier: Entry, reported: bool) {
         let is_usable = earlier.usable().is_some();
-        let lost_revision = earlier.lost_revision.unwrap_or(earlier.revision);
+        let earlier_revision = earlier.earlier_revision.unwrap_or(earlier.revision);
         let (first_revision, retention, grace) =
             (self.first_revision, self.retention, self.grace_end(now));
         let absent = Entry { revision: first_revision, ..Entry::default() };
         let entry = self.servers.entry(id).or_insert(absent);
         if entry.record.is_none() {
+            entry.earlier_revision = Some(earlier_revision);
             if !is_usable {
-                entry.lost_revision = Some(lost_revision);
                 return;
             }
             // A server that was removed while entries could lapse has no more time than it had.
             let grace = earlier.grace_until.filter(|_| reported).or(grace);
             if grace.is_some() {
-                *entry = Entry { revision: entry.revision, grace_until: grace, ..earlier };
+                let (revision, earlier_revision) = (entry.revision, entry.earlier_revision);
+                *entry = Entry { revision, earlier_revision, grace_until: grace, ..earlier };
             }
             return;
         }
         // The cold start may be part of what was lost.
         entry.cold_until = entry.cold_until.max(earlier.cold_until);
         let is_new_report = entry.revision > first_revision;
-        if !is_usable && entry.revision < lost_revision && !is_new_report {
-            entry.lost_revision = Some(lost_revision);
-            entry.withheld_until = Some(now + retention);
+        if entry.revision < earlier_revision && !is_new_report {
+            entry.earlier_revision = Some(earlier_revision);
+            entry.withheld_until = (!is_usable).then_some(now + retention);
         }
     }
 
-    /// Keeps a failure domain out, unless this epoch has reported that it is not.
-    fn withhold_domain(&mut self, domain: DomainId, until: Monotonic) {
+    /// Retains what an earlier epoch said of a failure domain; keeps it out until `until`, unless the
+    /// present epoch has reported that it is not.
+    fn retain_domain(
+        &mut self,
+        domain: DomainId,
+        earlier_revision: Revision,
+        until: Option<Monotonic>,
+    ) {
         let revision = self.first_revision;
         let state = self.domains.entry(domain).or_insert(DomainState {
             revision,
             out: false,
+            earlier_revision: None,
             withheld_until: None,
         });
-        if !state.out && state.revision <= revision {
-            state.withheld_until = state.withheld_until.max(Some(until));
+        let knows_later = state.earlier_revision.is_some_and(|known| known > earlier_revision);
+        if !state.out && state.revision <= revision && !knows_later {
+            state.earlier_revision = Some(earlier_revision);
+            state.withheld_until = state.withheld_until.max(until);
         }
     }
 
@@ -412,20 +427,22 @@
         let left_ms =
             |until: Monotonic| u32::try_from(millis(until.saturating_sub(now))).unwrap_or(u32::MAX);
         let servers = self.servers.iter().filter_map(|(id, entry)| {
-            let (until, lost_revision) = (entry.withheld_until?, entry.lost_revision?);
+            let (until, lost_revision) = (entry.withheld_until?, entry.earlier_revision?);
             let (id, revision) = (id.clone(), entry.revision);
             let subject = WithheldSubject::Server { id, revision, lost_revision };
             Some(Withheld { subject, left_ms: left_ms(until) })
         });
         let domains = self.domains.iter().filter_map(|(domain, state)| {
-            let left_ms = left_ms(state.withheld_until?);
-            Some(Withheld { subject: WithheldSubject::Domain(domain.clone()), left_ms })
+            let (until, lost_revision) = (state.withheld_until?, state.earlier_revision?);
+            let subject = WithheldSubject::Domain { domain: domain.clone(), lost_revision };
+            Some(Withheld { subject, left_ms: left_ms(until) })
         });
         servers.chain(domains).collect()
     }
 
     /// Withholds what a peer at `from` withholds, unless the peer lags: then it may not have heard yet
-    /// of a new report. A server that has reported to this host in the present epoch is not withheld.
+    /// of a new report. What this host knows from a later report, of the present or an earlier epoch, is
+    /// not withheld.
     /// `knows_earlier` tells whether the peer knows an earlier epoch.
     pub fn on_peer_withholds(
         &mut self,
@@ -449,12 +466,17 @@
             match subject {
                 WithheldSubject::Server { id, revision, lost_revision } => {
                     let known = revision.min(self.first_revision);
-                    if let Some(entry) = self.servers.get_mut(&id).filter(|e| e.revision <= known) {
-                        entry.lost_revision = Some(lost_revision);
+                    let is_lost = |entry: &&mut Entry| {
+                        entry.revision <= known && entry.earlier_revision <= Some(lost_revision)
+                    };
+                    if let Some(entry) = self.servers.get_mut(&id).filter(is_lost) {
+                        entry.earlier_revision = Some(lost_revision);
                         entry.withheld_until = entry.withheld_until.max(Some(until));
                     }
                 }
-                WithheldSubject::Domain(domain) => self.withhold_domain(domain, until),
+                WithheldSubject::Domain { domain, lost_revision } => {
+                    self.retain_domain(domain, lost_revision, Some(until));
+                }
             }
         }
     }
@@ -491,11 +513,9 @@
                 }
             },
         );
-        // A domain that is withheld has no fact of this epoch.
-        let reported = self
-            .domains
-            .iter()
-            .filter(|(_, d)| d.revision > revision && d.withheld_until.is_none());
+        // A domain that is only retained has no fact of this epoch.
+        let is_reported = |state: &DomainState| state.out || state.revision > self.first_revision;
+        let reported = self.domains.iter().filter(|(_, d)| d.revision > revision && is_reported(d));
         let domains = reported.map(|(domain, state)| Change {
             revision: state.revision,
             fact: Fact::DomainOut(domain.clone(), state.out),
@@ -570,13 +590,13 @@
         let grace_until = grace.filter(|_| kept.is_some());
         // The entry of a server that is withheld may lapse; then it is still withheld.
         let withheld = known.filter(|_| grace_until.is_some());
-        let lost_revision = withheld.and_then(|entry| entry.lost_revision);
+        let earlier_revision = withheld.and_then(|entry| entry.earlier_revision);
         let withheld_until = withheld.and_then(|entry| entry.withheld_until);
         let record = record.or(kept);
         let cold_left = record.as_ref().map_or(0, |record| record.cold_left_ms);
         let cold_until = now + Duration::from_millis(cold_left);
         let entry =
-            Entry { revision, record, cold_until, grace_until, lost_revision, withheld_until };
+            Entry { revision, record, cold_until, grace_until, earlier_revision, withheld_until };
         self.servers.insert(id, entry);
         true
     }
@@ -593,7 +613,10 @@
         if known.map_or(self.snapshot_revision, |known| known.revision) >= revision {
             return false;
         }
-        self.domains.insert(domain, DomainState { revision, out, withheld_until: None });
+        self.domains.insert(
+            domain,
+            DomainState { revision, out, earlier_revision: None, withheld_until: None },
+        );
         true
     }
 }
--- a/src/process/servers/withheld.rs
+++ b/src/process/servers/withheld.rs
@@ -27,6 +27,11 @@
             lost_revision: Revision,
         },
         /// A failure domain.
-        Domain(DomainId),
+        Domain {
+            /// The name of the failure domain.
+            domain: DomainId,
+            /// The revision, in an earlier epoch, of the fact because of which it is withheld.
+            lost_revision: Revision,
+        },
     }
 }
