Read the rate limits that servers state, and test that they are kept (failing)

What callers saw: nothing. Servers in need got up to 179 requests in 4 s, 36% more than the 126 that their stated limit tolerates.

Hypotheses: (a) no host reads the field, so load is chosen by latency alone; (b) a host reads it but each keeps the whole limit; (c) relays or hedges add to it. The code decides for (a): no part of the product knows a rate limit except that of a cold server.

The backend protocol now tells what a reply says about the server's rate limit; nothing uses it yet.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -69,6 +69,17 @@
     Lost(UnknownReason),
 }
 
+/// What a reply says about the rate limit of its server, which holds for all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateStatement {
+    /// It states none.
+    Unlimited,
+    /// It states this many requests per second, a finite number that is not negative.
+    PerSecond(f64),
+    /// It states something that is not a rate.
+    Invalid,
+}
+
 /// One connection to a backend server, which carries one request at a time.
 pub trait Exchange: Send + 'static {
     /// Sends a request for `server` and reads the reply; `time_left` is the time until the
@@ -84,6 +95,10 @@
     /// Returns how long the connection may be idle and still be reused, or `None` if it must not be
     /// reused because its state may not be clean.
     fn keep_alive_time(&self) -> Option<Duration>;
+
+    /// Returns what the reply to the last request says about the server's rate limit, or `None` if
+    /// the server sent no reply.
+    fn rate_statement(&self) -> Option<RateStatement>;
 }
 
 /// The protocol of backend servers.
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -9,7 +9,9 @@
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method};
 use quetzalpoint::UnknownReason;
-use quetzalpoint::connection::exchange::{BackendProtocol, Call, Exchange, ExchangeResult, Reply};
+use quetzalpoint::connection::exchange::{
+    BackendProtocol, Call, Exchange, ExchangeResult, RateStatement, Reply,
+};
 use quetzalpoint::ids::{RegionId, ServerId, ServiceId};
 use quetzalpoint::position::Position;
 use quetzalpoint::process::budgets::extra_attempt_budget::ExtraAttemptLimit;
@@ -20,6 +22,7 @@
     GatherRule, Idempotency, Plan, PlanDocument, Route, ServiceLimits, Target,
 };
 use smallvec::{SmallVec, smallvec};
+use tokio::time::Instant;
 
 pub const NORTH: &str = "north";
 pub const SOUTH: &str = "south";
@@ -61,6 +64,7 @@
 struct FakeServer {
     mode: Mode,
     processing_time: Duration,
+    rate: RateStatement,
 }
 
 /// What all servers together have observed.
@@ -70,6 +74,8 @@
     pub runs: Vec<(String, SocketAddr)>,
     /// The number of requests that arrived at a server, including rejected ones.
     pub arrivals: usize,
+    /// The address of the server at which each request arrived, and when.
+    pub arrived_at: Vec<(SocketAddr, Instant)>,
     /// The number of requests whose connection was closed while they ran.
     pub cancelled: usize,
     /// The number of connections opened.
@@ -90,7 +96,29 @@
 
     pub fn set_behaviour(&self, addr: SocketAddr, mode: Mode, processing_time: Duration) {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
-        servers.insert(addr, FakeServer { mode, processing_time });
+        let rate = servers.get(&addr).map_or(RateStatement::Unlimited, |server| server.rate);
+        servers.insert(addr, FakeServer { mode, processing_time, rate });
+    }
+
+    /// Sets what the replies of a server say about its rate limit.
+    pub fn set_rate(&self, addr: SocketAddr, rate: RateStatement) {
+        let mut servers = self.servers.lock().expect("no holder of the lock panics");
+        servers.get_mut(&addr).expect("the server is known").rate = rate;
+    }
+
+    /// Returns the most requests that arrived at a server in any span of this length.
+    pub fn most_arrivals(&self, addr: SocketAddr, span: Duration) -> usize {
+        let stats = self.stats();
+        let at: Vec<Instant> =
+            stats.arrived_at.iter().filter(|(to, _)| *to == addr).map(|(_, at)| *at).collect();
+        let in_span =
+            |from: &Instant| at.iter().filter(|at| **at >= *from && **at < *from + span).count();
+        at.iter().map(in_span).max().unwrap_or(0)
+    }
+
+    fn rate(&self, addr: SocketAddr) -> Option<RateStatement> {
+        let servers = self.servers.lock().expect("no holder of the lock panics");
+        servers.get(&addr).map(|server| server.rate)
     }
 
     fn behaviour(&self, addr: SocketAddr) -> (Mode, Duration) {
@@ -109,6 +137,7 @@
     used: bool,
     /// Whether the last exchange ended with a complete reply.
     reusable: bool,
+    rate_statement: Option<RateStatement>,
 }
 
 impl BackendProtocol for FakeServers {
@@ -121,7 +150,8 @@
             _ => {}
         }
         self.stats().connections += 1;
-        Ok(FakeLink { servers: self.clone(), addr, used: false, reusable: true })
+        let servers = self.clone();
+        Ok(FakeLink { servers, addr, used: false, reusable: true, rate_statement: None })
     }
 }
 
@@ -142,10 +172,16 @@
         let (mode, processing_time) = self.servers.behaviour(self.addr);
         let reused = std::mem::replace(&mut self.used, true);
         self.reusable = false;
-        self.servers.stats().arrivals += 1;
+        self.rate_statement = None;
+        {
+            let mut stats = self.servers.stats();
+            stats.arrivals += 1;
+            stats.arrived_at.push((self.addr, Instant::now()));
+        }
         match mode {
             Mode::Sheds => {
                 self.reusable = true;
+                self.rate_statement = self.servers.rate(self.addr);
                 return ExchangeResult::Shed;
             }
             Mode::Replaced => return ExchangeResult::WrongServer,
@@ -170,6 +206,7 @@
             return ExchangeResult::Lost(UnknownReason::ConnectionLost);
         }
         self.reusable = true;
+        self.rate_statement = self.servers.rate(self.addr);
         ExchangeResult::Reply(Reply {
             status: if mode == Mode::Fails { 500 } else { 200 },
             headers: HeaderMap::new(),
@@ -181,6 +218,10 @@
     fn keep_alive_time(&self) -> Option<Duration> {
         self.reusable.then_some(Duration::from_secs(5))
     }
+
+    fn rate_statement(&self) -> Option<RateStatement> {
+        self.rate_statement
+    }
 }
 
 /// A host of the tier before fake servers: every shard has one server in [`NORTH`] and one in
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -11,6 +11,7 @@
 mod one_way_cut_between_domains;
 mod pausing_servers;
 mod platform_outages;
+mod rate_limits;
 mod refused_routes;
 mod relay_failures;
 mod restarted_servers;
