Share the rate limits that servers state among all hosts

Cause: no host read the limit, so each sent as if there was none. A rate that belongs to a server was nobody's; only the limit of cold servers was shared, and by another rule.

Change: each host keeps a token bucket for each limited server, filled with its share of the limit. First attempts, retries, hedges, relayed parts and resends take a token at the moment of sending. A server without a token is passed over; if no server has one, the request is refused at once, with a Retry-After that spreads the returning callers over the room expected. A relay tells the calling host which shards it refused for this reason and for how long.

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -183,6 +183,10 @@
     pub late: bool,
     /// The shards that failed at the relay.
     pub failed: Vec<RelayFailure>,
+    /// Which of them the relay did not send because of the servers' rate limits, and how many
+    /// milliseconds until it may. [`encode`] appends it to the frame.
+    #[serde(skip)]
+    pub rate_limited: Vec<(ShardIndex, u32)>,
 }
 
 /// A shard that a relay got no answer for.
@@ -211,6 +215,9 @@
         Frame::Facts(Facts { extension: Some(extension), .. }) => {
             postcard::to_extend(extension, bytes)
         }
+        Frame::Parts(RelayParts { rate_limited, .. }) if !rate_limited.is_empty() => {
+            postcard::to_extend(rate_limited, bytes)
+        }
         Frame::Call(_) | Frame::Parts(_) | Frame::Cancel(_) | Frame::Pull(_) | Frame::Facts(_) => {
             Ok(bytes)
         }
@@ -224,7 +231,10 @@
     match &mut frame {
         Frame::Pull(known) => known.epochs = decode_extension(rest).ok()?,
         Frame::Facts(facts) => facts.extension = decode_extension(rest).ok()?,
-        Frame::Call(_) | Frame::Parts(_) | Frame::Cancel(_) => {}
+        Frame::Parts(parts) => {
+            parts.rate_limited = decode_extension(rest).ok()?.unwrap_or_default()
+        }
+        Frame::Call(_) | Frame::Cancel(_) => {}
     }
     Some(frame)
 }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -49,6 +49,8 @@
         NotReady,
         /// The request is invalid.
         BadRequest,
+        /// The backend servers' rate limits allow no request at present. Never sent to other hosts.
+        RateLimited,
     }
 
     /// The reason why it is not known whether a request ran.
@@ -100,6 +102,7 @@
             Self::Cancelled => "cancelled",
             Self::NotReady => "not_ready",
             Self::BadRequest => "bad_request",
+            Self::RateLimited => "rate_limited",
         })
     }
 }
--- a/src/process/budgets/mod.rs
+++ b/src/process/budgets/mod.rs
@@ -4,4 +4,5 @@
 pub mod budget;
 pub mod extra_attempt_budget;
 pub mod latency;
+pub mod retry_schedule;
 pub mod usual_timeout;
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -9,12 +9,15 @@
 
 use super::members::{Gossip, SAME_DOMAIN_GOSSIP_INTERVAL};
 use crate::connection::exchange::BackendProtocol;
+use crate::process::servers::rate_limit::REPORT_INTERVAL;
 use crate::process::tier::Tier;
 
 /// Interval at which due messages are sent.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Size of the receive buffer, which holds the heartbeats of about four thousand hosts.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+/// Number of reports in one datagram, which keeps it below the usual size of a packet.
+const MAX_REPORTS: usize = 40;
 
 /// Exchanges gossip messages until the host stops.
 ///
@@ -25,6 +28,8 @@
     let socket = UdpSocket::bind((tier.settings.ip, tier.settings.peer_port)).await?;
     let mut ticks = tokio::time::interval(TICK_INTERVAL.min(SAME_DOMAIN_GOSSIP_INTERVAL));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut report_timer = tokio::time::interval(REPORT_INTERVAL);
+    report_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         tokio::select! {
@@ -33,6 +38,7 @@
                 Err(error) => tracing::debug!(%error, "failed to receive a gossip datagram"),
             },
             _ = ticks.tick() => tick(&tier, &socket).await,
+            _ = report_timer.tick() => report_limits(&tier, &socket).await,
             () = tier.stopped.cancelled() => return Ok(()),
         }
     }
@@ -49,6 +55,9 @@
         return;
     };
     let now = tier.now();
+    if let Some(sender) = gossip.heartbeats.first() {
+        tier.on_limit_reports(sender.ip, &gossip.limit_reports);
+    }
     let answer = tier.members().on_gossip(now, gossip);
     if let Some((to, gossip)) = answer {
         send(tier, socket, to, &gossip).await;
@@ -74,6 +83,16 @@
     }
 }
 
+/// Sends this host's use of limited servers to the hosts that share their limits.
+async fn report_limits<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
+    for (to, reports) in tier.limit_reports() {
+        for reports in reports.chunks(MAX_REPORTS) {
+            let gossip = tier.members().limit_message(reports.to_vec());
+            send(tier, socket, to, &gossip).await;
+        }
+    }
+}
+
 fn log_changes<B: BackendProtocol>(tier: &Tier<B>, view: &super::members::FleetView) {
     let before = tier.fleet.load();
     let has = |list: &[super::members::Heartbeat], ip| list.iter().any(|h| h.ip == ip);
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -272,7 +272,7 @@
         ..heartbeat(n)
     };
     let heartbeats = (0..=u8::MAX).zip(epochs).map(heartbeat).collect();
-    Gossip { heartbeats, wants_answer: true }
+    Gossip { heartbeats, wants_answer: true, limit_reports: Vec::new() }
 }
 
 fn old_bytes(gossip: &Gossip) -> Vec<u8> {
@@ -411,7 +411,8 @@
         let mut members = Members::new(now, heartbeat(0), vec![]);
         for forwarded in case.known.into_iter().chain([case.arrives]) {
             let heartbeats = vec![heartbeat(2), forwarded];
-            members.on_gossip(now, Gossip { heartbeats, wants_answer: false });
+            let gossip = Gossip { heartbeats, wants_answer: false, limit_reports: Vec::new() };
+            members.on_gossip(now, gossip);
         }
         let known = members.others.get(&ip(1)).map(|member| member.heartbeat);
         let newest = case.known.into_iter().chain([case.arrives]).max_by_key(|h| (h.life, h.count));
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a host, recorded with OpenTelemetry and served on a scrape endpoint.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -23,6 +23,9 @@
     seat_changes: Counter<u64>,
     epoch_changes: Counter<u64>,
     plan_series: Counter<u64>,
+    rate_limit_changes: Counter<u64>,
+    rate_limited: Counter<u64>,
+    rate_limited_servers: Gauge<u64>,
 }
 
 impl Metrics {
@@ -76,6 +79,18 @@
                 .u64_counter("plan_series_started")
                 .with_description("Times that a lower plan version was adopted, as the platform has lost the higher one")
                 .build(),
+            rate_limit_changes: meter
+                .u64_counter("rate_limit_changes")
+                .with_description("Times that a backend server's rate limit changed")
+                .build(),
+            rate_limited: meter
+                .u64_counter("rate_limited")
+                .with_description("Times that a server was not used because of its rate limit, by service")
+                .build(),
+            rate_limited_servers: meter
+                .u64_gauge("rate_limited_servers")
+                .with_description("Backend servers with a rate limit in force")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -120,6 +135,18 @@
         self.plan_series.add(1, &[]);
     }
 
+    pub(crate) fn rate_limit_change(&self) {
+        self.rate_limit_changes.add(1, &[]);
+    }
+
+    pub(crate) fn rate_limited(&self, service: &str) {
+        self.rate_limited.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    pub(crate) fn rate_limited_servers(&self, count: u64) {
+        self.rate_limited_servers.record(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/src/process/servers/mod.rs
+++ b/src/process/servers/mod.rs
@@ -7,6 +7,7 @@
 pub mod hints;
 pub(crate) mod owner;
 pub mod passive_health;
+pub mod rate_limit;
 pub mod registry;
 pub mod server_queue;
 pub mod split;
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -12,22 +12,24 @@
 use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
+use super::budgets::retry_schedule::RetrySchedule;
 use super::budgets::usual_timeout::UsualTimeouts;
 use super::membership::domain_paths::DomainPaths;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
 use super::servers::passive_health::PassiveHealth;
+use super::servers::rate_limit::{LimitChange, LimitReport, RateLimits};
 use super::servers::registry::{
     Change, EpochChange, LiveServer, Registry, ServerRecord, ServerView,
 };
 use super::servers::split::WeightedRoundRobin;
 use crate::clock::{Clock, Monotonic};
-use crate::connection::exchange::BackendProtocol;
+use crate::connection::exchange::{BackendProtocol, RateStatement};
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
-use crate::ids::{ConfigVersion, DomainId, RegionId, ServiceId};
+use crate::ids::{ConfigVersion, DomainId, RegionId, ServerId, ServiceId};
 use crate::position::{Epochs, Position};
 use crate::process::membership::suspicion::Suspicion;
 use crate::version::plan::{ConnectionSharers, Plan, Route, Target};
@@ -101,6 +103,8 @@
     members: Mutex<Members>,
     passive_health: Mutex<PassiveHealth>,
     cold_rate_limiter: Mutex<ColdRateLimiter>,
+    rate_limits: Mutex<RateLimits>,
+    retry_schedule: Mutex<RetrySchedule>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
     paths: Mutex<DomainPaths>,
     extra: Mutex<ExtraAttemptBudget>,
@@ -132,6 +136,7 @@
             members: Mutex::new(Members::new(clock.now(), me, settings.seeds.clone())),
             extra: Mutex::new(ExtraAttemptBudget::new(settings.extra)),
             registry: Mutex::new(Registry::new(settings.lapse_time)),
+            rate_limits: Mutex::new(RateLimits::new(settings.ip)),
             clock,
             backend,
             settings,
@@ -148,6 +153,7 @@
             domains,
             passive_health: Mutex::default(),
             cold_rate_limiter: Mutex::default(),
+            retry_schedule: Mutex::default(),
             suspicion: Mutex::default(),
             paths: Mutex::default(),
             split: Mutex::default(),
@@ -233,6 +239,114 @@
         self.cold_rate_limiter.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks and returns the rate limits of backend servers.
+    pub fn rate_limits(&self) -> MutexGuard<'_, RateLimits> {
+        self.rate_limits.lock().expect("no holder of the lock panics")
+    }
+
+    /// Handles what a server's reply says about its rate limit; its request was sent at `sent_at`.
+    pub fn on_rate_statement(
+        &self,
+        server: &ServerId,
+        sent_at: Monotonic,
+        statement: RateStatement,
+    ) {
+        let now = self.now();
+        if statement == RateStatement::Invalid {
+            if self.rate_limits().is_newly_invalid(now, server) {
+                tracing::warn!(%server, "a server states an invalid rate limit; it is ignored");
+            }
+            return;
+        }
+        let change = self.rate_limits().on_reply(now, server, sent_at, statement);
+        self.on_limit_change(server, change, "reply");
+    }
+
+    /// Handles reports of another host about its use of limited servers.
+    pub fn on_limit_reports(&self, from: Ipv4Addr, reports: &[LimitReport]) {
+        let now = self.now();
+        for report in reports {
+            let change = self.rate_limits().on_report(now, from, report);
+            self.on_limit_change(&report.server, change, "host");
+        }
+    }
+
+    fn on_limit_change(&self, server: &ServerId, change: Option<LimitChange>, source: &str) {
+        let Some(LimitChange { from, to }) = change else { return };
+        self.metrics.rate_limit_change();
+        tracing::info!(%server, from, to, source, "rate limit of a server changed");
+    }
+
+    /// Returns the reports of this host's use of limited servers, by the host that needs them: the
+    /// hosts in the server's failure domain, and those that use the server as well.
+    pub fn limit_reports(&self) -> Vec<(Ipv4Addr, Vec<LimitReport>)> {
+        let now = self.now();
+        let rate_limits = self.rate_limits();
+        let reports = rate_limits.reports(now);
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        let servers = self.servers.load();
+        let fleet = self.fleet.load();
+        let for_host = |host: &Heartbeat| {
+            let needs = |report: &&LimitReport| {
+                let server = servers.get(&report.server);
+                server.is_some_and(|s| self.domain_index(&s.record.domain) == host.domain)
+                    || rate_limits.is_used_by(now, &report.server, host.ip)
+            };
+            (host.ip, reports.iter().filter(needs).cloned().collect::<Vec<_>>())
+        };
+        fleet.up.iter().map(for_host).filter(|(_, reports)| !reports.is_empty()).collect()
+    }
+
+    /// Returns how long this host must wait before it may send to a server, directly or through a
+    /// relay, or `None` if it may send now.
+    pub fn rate_limit_wait(&self, server: &str, directly: bool) -> Option<Duration> {
+        let (now, rate_limits) = (self.now(), self.rate_limits());
+        if directly { rate_limits.wait(now, server) } else { rate_limits.relay_wait(now, server) }
+    }
+
+    /// Counts a request about to be sent to a server against its rate limit; returns whether it may
+    /// be sent.
+    pub fn try_take_rate_token(&self, server: &str) -> bool {
+        self.rate_limits().try_take(self.now(), server)
+    }
+
+    /// Records that a server was not used because of its rate limit.
+    pub fn on_rate_limited(&self, record: &ServerRecord, directly: bool) {
+        self.metrics.rate_limited(&record.service);
+        if directly {
+            self.rate_limits().on_denied(self.now(), &record.id);
+        }
+    }
+
+    /// Returns when a caller should retry that was refused because of the rate limits of servers.
+    pub fn rate_limited_retry_after(&self, route: &Route) -> Duration {
+        let now = self.now();
+        let servers = self.servers.load();
+        let rate_limits = self.rate_limits();
+        // The wait until a service has room, and how often per second it has room after that.
+        let room = |service: &ServiceId| {
+            let all = servers.of(service).iter().map(|server| &server.record.id);
+            let wait = all.clone().map(|id| {
+                let direct = rate_limits.wait(now, id).unwrap_or_default();
+                direct.max(rate_limits.relay_wait(now, id).unwrap_or_default())
+            });
+            let per_s = all.filter_map(|id| rate_limits.share(now, id)).sum::<f64>();
+            (wait.min().unwrap_or_default(), per_s)
+        };
+        let mut rooms: Vec<(Duration, f64)> = route.services().map(room).collect();
+        rooms.sort_by_key(|(wait, _)| *wait);
+        let needed = match &route.target {
+            Target::Gather(rule) => rule.parts_needed(),
+            Target::Service(_) | Target::Split(_) => 1,
+        };
+        let (wait, per_s) = rooms.get(needed.saturating_sub(1)).copied().unwrap_or_default();
+        drop(rate_limits);
+        let mut schedule = self.retry_schedule.lock().expect("no holder of the lock panics");
+        schedule.delay(now, &route.id, wait, per_s, rand::random())
+    }
+
     /// Returns how many connections this host may open to a server.
     pub fn connection_share(&self, server: &ServerRecord) -> usize {
         let fleet = self.fleet.load();
@@ -500,6 +614,12 @@
         };
         self.pool.sweep(now, |server| servers.get(server).is_some_and(wanted));
         self.passive_health().forget_unused(now, FORGET_SERVERS_AFTER);
+        let limited = {
+            let mut rate_limits = self.rate_limits();
+            rate_limits.evict(now);
+            rate_limits.in_force()
+        };
+        self.metrics.rate_limited_servers(limited as u64);
     }
 
     /// Counts a caller's request as running until the returned guard is dropped.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use crate::clock::Monotonic;
 use crate::connection::exchange::{BackendProtocol, Call, Exchange, ExchangeResult, Reply};
 use crate::connection::server_pool::{ASSUMED_ALIVE_FOR, ConnectionPermit};
-use crate::ids::{ServerId, ServiceId};
+use crate::ids::{ConfigVersion, ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::process::servers::passive_health::{AttemptEnd, PassiveHealth, ServerHealth, Ticket};
 use crate::process::servers::registry::{LiveServer, ServerRecord};
@@ -52,36 +52,100 @@
     pub baseline: Baseline,
 }
 
+/// Why no server can be chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoServer {
+    /// None is available.
+    Unavailable,
+    /// All that are available are at their rate limit; the first has room again after this time.
+    RateLimited(Duration),
+}
+
+/// How requests reach servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// This host sends to all servers itself.
+    Direct,
+    /// This host sends to servers that it is connected to, and uses relays with this plan, if there
+    /// are any, for the others.
+    Relays(ConfigVersion),
+}
+
+impl Path {
+    /// Returns how long the rate limit of a server forbids requests on this path. Counts the request
+    /// as one that the limit prevented.
+    fn rate_limit_wait<B: BackendProtocol>(
+        self,
+        tier: &Tier<B>,
+        server: &ServerRecord,
+    ) -> Option<Duration> {
+        if !tier.rate_limits().knows(&server.id) {
+            return None;
+        }
+        let relayed = match self {
+            Self::Direct => false,
+            Self::Relays(version) => {
+                let domain = tier.domain_index(&server.domain);
+                !tier.sends_directly(server)
+                    && tier.choose_relay(domain, &server.service, version).is_some()
+            }
+        };
+        let wait = tier.rate_limit_wait(&server.id, !relayed)?;
+        tier.on_rate_limited(server, !relayed);
+        Some(wait)
+    }
+
+    /// Tells whether the rate limit of a server allows a request on this path.
+    pub fn is_within_limit<B: BackendProtocol>(
+        self,
+        tier: &Tier<B>,
+        server: &ServerRecord,
+    ) -> bool {
+        self.rate_limit_wait(tier, server).is_none()
+    }
+}
+
 /// Chooses the server for the next attempt at a service.
+///
+/// # Errors
+///
+/// Returns the reason if there is none.
 pub fn choose_server<B: BackendProtocol>(
     tier: &Tier<B>,
     job: &Job,
     service: &ServiceId,
     run: &ShardRun,
     purpose: Purpose,
-) -> Option<(Arc<LiveServer>, ServerHealth)> {
+    path: Path,
+) -> Result<(Arc<LiveServer>, ServerHealth), NoServer> {
     let servers = tier.servers.load();
     let all = servers.of(service);
-    let candidates = candidates(tier, job, all, |id| !run.allows(id, job.route.attempts));
-    pick_among(job, all, &candidates, purpose)
+    let mut candidates = candidates(tier, job, all, |id| !run.allows(id, job.route.attempts));
+    pick_among(tier, job, all, &mut candidates, purpose, path)
 }
 
-/// Chooses a server in this host's own failure domain for a request of another host. Returns `None`
-/// if that host should try elsewhere.
+/// Chooses a server in this host's own failure domain for a request of another host.
+///
+/// # Errors
+///
+/// Returns the reason if that host should try elsewhere.
 pub fn choose_near_server<B: BackendProtocol>(
     tier: &Tier<B>,
     job: &Job,
     service: &ServiceId,
     purpose: Purpose,
-) -> Option<(Arc<LiveServer>, ServerHealth)> {
+) -> Result<(Arc<LiveServer>, ServerHealth), NoServer> {
     let servers = tier.servers.load();
     let near = |server: &&Arc<LiveServer>| server.record.domain == tier.settings.domain;
     let all: SmallVec<[Arc<LiveServer>; 4]> =
         servers.of(service).iter().filter(near).cloned().collect();
-    let candidates = candidates(tier, job, &all, |_| false);
-    let (server, health) = pick_among(job, &all, &candidates, purpose)?;
+    let mut candidates = candidates(tier, job, &all, |_| false);
+    let (server, health) = pick_among(tier, job, &all, &mut candidates, purpose, Path::Direct)?;
     let slow = health.expected > job.typical.mul_f64(DECLINE_FACTOR);
-    (purpose == Purpose::Needed || !slow).then_some((server, health))
+    if slow && purpose == Purpose::Hedge {
+        return Err(NoServer::Unavailable);
+    }
+    Ok((server, health))
 }
 
 fn candidates<B: BackendProtocol>(
@@ -111,16 +175,27 @@
     servers.iter().map(candidate).collect()
 }
 
-fn pick_among(
+/// Picks a server that is not at its rate limit. Servers that would have been picked but for their
+/// limit are counted, since the hosts share a limit by their demand.
+fn pick_among<B: BackendProtocol>(
+    tier: &Tier<B>,
     job: &Job,
     servers: &[Arc<LiveServer>],
-    candidates: &[Candidate],
+    candidates: &mut [Candidate],
     purpose: Purpose,
-) -> Option<(Arc<LiveServer>, ServerHealth)> {
+    path: Path,
+) -> Result<(Arc<LiveServer>, ServerHealth), NoServer> {
     let jitter: SmallVec<[f64; 4]> =
         servers.iter().map(|_| JITTER.mul_add(rand::random::<f64>(), 1.0)).collect();
-    let n = pick(candidates, purpose, job.route.latency_target, |n| jitter[n])?;
-    Some((servers[n].clone(), candidates[n].health))
+    let mut shortest_wait: Option<Duration> = None;
+    while let Some(n) = pick(candidates, purpose, job.route.latency_target, |n| jitter[n]) {
+        let Some(wait) = path.rate_limit_wait(tier, &servers[n].record) else {
+            return Ok((servers[n].clone(), candidates[n].health));
+        };
+        shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
+        candidates[n].blocked = true;
+    }
+    Err(shortest_wait.map_or(NoServer::Unavailable, NoServer::RateLimited))
 }
 
 /// Records how an attempt ended, also when its future is dropped.
@@ -223,7 +298,13 @@
         if !tier.try_take_cold_token(server) {
             return Outcome::NotRun(NotRunReason::NoPermission);
         }
+        if !tier.try_take_rate_token(id) {
+            return Outcome::NotRun(NotRunReason::RateLimited);
+        }
         let exchanged = link.exchange(&job.call, id, left).await;
+        if let Some(statement) = link.rate_statement() {
+            tier.on_rate_statement(id, began_at, statement);
+        }
         if !matches!(exchanged, ExchangeResult::Unsent | ExchangeResult::Lost(_)) {
             tier.on_domain_answered(tier.domain_index(&record.domain));
         }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -114,6 +114,10 @@
     if matches!(outcome, Outcome::NotRun(NotRunReason::Unreachable)) && tier.is_cut_off() {
         return Served::elsewhere(outcome);
     }
+    if matches!(outcome, Outcome::NotRun(NotRunReason::RateLimited)) {
+        let retry_after = tier.rate_limited_retry_after(&job.route);
+        return Served { outcome, retry_after };
+    }
     Served::of(outcome)
 }
 
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -17,12 +17,12 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use super::attempt::{Job, attempt, choose_near_server, failure_of, finish_remaining};
+use super::attempt::{Job, NoServer, attempt, choose_near_server, failure_of, finish_remaining};
 use super::baseline::{Baseline, late_after};
 use super::records::TopRecords;
 use super::server_choice::Purpose;
 use super::timer::sleep_until;
-use crate::clock::{Monotonic, micros};
+use crate::clock::{Monotonic, micros, millis};
 use crate::connection::accept::accept;
 use crate::connection::exchange::{BackendProtocol, Reply};
 use crate::connection::peer_frame::{
@@ -40,6 +40,9 @@
 /// After the first frame, parts that arrive within this time are returned together.
 const COALESCE_DELAY: Duration = Duration::from_millis(4);
 
+/// The wait that is reported for a request that lost a server's last token to another one.
+const RATE_TOKEN_LOST_WAIT: Duration = Duration::from_millis(20);
+
 type Running = Arc<Mutex<HashMap<CallId, CancellationToken>>>;
 
 /// Serves calls of other hosts until this host stops.
@@ -193,10 +196,9 @@
         let mut pending: SmallVec<[(ShardIndex, ServerId); 16]> = SmallVec::new();
         for shard in shards {
             let service = rule.shards.get(usize::from(*shard));
-            let chosen =
-                service.and_then(|service| choose_near_server(tier, job, service, purpose));
+            let chosen = service.map(|service| choose_near_server(tier, job, service, purpose));
             match chosen {
-                Some((server, health)) => {
+                Some(Ok((server, health))) => {
                     pending.push((*shard, server.record.id.clone()));
                     let (tier, job, shard) = (tier.clone(), job.clone(), *shard);
                     running.push(async move {
@@ -204,7 +206,11 @@
                         (shard, server.record.id.clone(), outcome)
                     });
                 }
-                None => self.decline(*shard, purpose),
+                Some(Err(NoServer::RateLimited(wait))) => {
+                    self.decline(*shard, purpose);
+                    self.next.rate_limited.push((*shard, wait_ms(wait)));
+                }
+                Some(Err(NoServer::Unavailable)) | None => self.decline(*shard, purpose),
             }
         }
         let sent = running.len();
@@ -273,6 +279,11 @@
             self.records.add(&reply.body);
             return true;
         }
+        if matches!(outcome, Outcome::NotRun(NotRunReason::RateLimited)) {
+            self.decline(shard, Purpose::Needed);
+            self.next.rate_limited.push((shard, wait_ms(RATE_TOKEN_LOST_WAIT)));
+            return false;
+        }
         let server = Some(server.clone());
         self.next.failed.push(RelayFailure { shard, server, outcome: failure_of(outcome) });
         false
@@ -303,6 +314,10 @@
     }
 }
 
+fn wait_ms(wait: Duration) -> u32 {
+    u32::try_from(millis(wait)).unwrap_or(u32::MAX)
+}
+
 fn empty_parts(id: CallId) -> RelayParts {
     RelayParts {
         id,
@@ -312,6 +327,7 @@
         records: Vec::new(),
         late: false,
         failed: Vec::new(),
+        rate_limited: Vec::new(),
     }
 }
 
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -9,7 +9,9 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use super::attempt::{Job, attempt, choose_server, failure_of, finish_remaining, overdue_after};
+use super::attempt::{
+    Job, NoServer, Path, attempt, choose_server, failure_of, finish_remaining, overdue_after,
+};
 use super::baseline::{late_after, late_after_with_slowness};
 use super::dispatch::{
     Event, FirstAttempt, InFlight, PlannedAttempt, RelayGroup, call_relay, group_by_domain,
@@ -89,9 +91,13 @@
         extra: 0,
         direct_only: false,
     };
-    if scatter.reachable() < needed {
+    let (reachable, within_limits) = scatter.reachable();
+    if reachable < needed {
         return Outcome::NotRun(NotRunReason::Unreachable);
     }
+    if within_limits < needed {
+        return Outcome::NotRun(NotRunReason::RateLimited);
+    }
     let first: Vec<PlannedAttempt> =
         (0..rule.shards.len()).filter_map(|n| scatter.start(n, Purpose::Needed)).collect();
     let mut running: FuturesUnordered<_> = scatter.send(first).into_iter().map(wait).collect();
@@ -142,8 +148,9 @@
 }
 
 impl<B: BackendProtocol> Scatter<'_, B> {
-    /// Returns the number of shards with at least one server that may receive the request.
-    fn reachable(&self) -> usize {
+    /// Returns the number of shards with at least one server that may receive the request, and how
+    /// many of them have one that is not at its rate limit.
+    fn reachable(&self) -> (usize, usize) {
         let servers = self.tier.servers.load();
         let unreachable = self.tier.unreachable_domains();
         let fit = |server: &Arc<LiveServer>| {
@@ -151,7 +158,16 @@
             self.tier.route_allows_domain(&self.job.route, domain)
                 && !unreachable.contains(&self.tier.domain_index(domain))
         };
-        self.shards.iter().filter(|shard| servers.of(shard).iter().any(fit)).count()
+        let mut reachable = 0;
+        let mut within_limits = 0;
+        for shard in self.shards {
+            let mut fit = servers.of(shard).iter().filter(|server| fit(server)).peekable();
+            reachable += usize::from(fit.peek().is_some());
+            let path = Path::Relays(self.version);
+            let within_limit = fit.any(|server| path.is_within_limit(self.tier, &server.record));
+            within_limits += usize::from(within_limit);
+        }
+        (reachable, within_limits)
     }
 
     /// Returns the number of shards that have answered or may still answer.
@@ -229,14 +245,26 @@
             run.cancel_check();
             return None;
         }
-        let Some((server, health)) = choose_server(self.tier, self.job, service, run, purpose)
-        else {
-            if run.is_running() {
+        let path = if self.direct_only { Path::Direct } else { Path::Relays(self.version) };
+        let (server, health) = match choose_server(self.tier, self.job, service, run, purpose, path)
+        {
+            Ok(chosen) => chosen,
+            Err(NoServer::RateLimited(wait)) if run.is_running() => {
+                run.schedule_check(now + wait.max(LATE_RECHECK_INTERVAL));
+                return None;
+            }
+            Err(NoServer::RateLimited(_)) => {
+                run.on_rate_limited();
+                return None;
+            }
+            Err(NoServer::Unavailable) if run.is_running() => {
                 run.schedule_check(now + LATE_RECHECK_INTERVAL);
-            } else {
+                return None;
+            }
+            Err(NoServer::Unavailable) => {
                 run.on_no_server(now);
+                return None;
             }
-            return None;
         };
         if run.send_count() == 0 {
             self.tier.extra().on_first(now, service);
@@ -414,6 +442,14 @@
         for failure in frame.failed {
             let shard = usize::from(failure.shard);
             let Some(server) = self.groups[group].on_reported(shard) else { continue };
+            let wait_ms = frame.rate_limited.iter().find(|(limited, _)| *limited == failure.shard);
+            if let Some((_, wait_ms)) = wait_ms {
+                let wait = Duration::from_millis(u64::from(*wait_ms));
+                self.tier.rate_limits().on_relay_refusal(now, &server, wait);
+                let limited = Outcome::NotRun(NotRunReason::RateLimited);
+                sends.extend(self.on_failure(shard, &server, limited));
+                continue;
+            }
             match failure.outcome {
                 Outcome::NotRun(NotRunReason::VersionGone) => self.direct_only = true,
                 _ if failure.server.is_none() => {
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -130,6 +130,15 @@
         self.next_check_at = Some(if declined { now } else { now + RECHECK_INTERVAL });
     }
 
+    /// Records that the rate limits of all servers forbid another attempt. The shard is not checked
+    /// again, since waiting requests would use up what the servers take later.
+    pub fn on_rate_limited(&mut self) {
+        if self.failure.as_ref().is_none_or(Outcome::is_not_run) {
+            self.failure = Some(Outcome::NotRun(NotRunReason::RateLimited));
+        }
+        self.next_check_at = None;
+    }
+
     /// Schedules the next check of the shard.
     pub const fn schedule_check(&mut self, at: Monotonic) {
         self.next_check_at = Some(at);
@@ -168,8 +177,10 @@
         self.running = self.running.saturating_sub(1);
         let declined =
             matches!(failure, Outcome::NotRun(NotRunReason::NotOwner | NotRunReason::VersionGone));
-        if declined {
-            // A relay that declined may be called again, with `insists` set.
+        let declined_by_limit = failure == Outcome::NotRun(NotRunReason::RateLimited);
+        if declined || declined_by_limit {
+            // A relay that declined may be called again, with `insists` set. The limit of a server
+            // is checked whenever one is chosen.
             self.excluded.retain(|excluded| excluded != server);
         }
         match &failure {
@@ -177,6 +188,9 @@
                 // Another server may take its place.
                 self.reached.retain(|reached| reached != server);
                 self.delivered = self.delivered.saturating_sub(1);
+                if declined_by_limit {
+                    self.refusals += 1;
+                }
             }
             Outcome::NotRun(NotRunReason::ServerLeaving) => {
                 // Another server now has this address and received the request instead.
@@ -231,6 +245,7 @@
             NotRunReason::Unreachable
                 | NotRunReason::NotOwner
                 | NotRunReason::NoPermission
+                | NotRunReason::RateLimited
                 | NotRunReason::VersionGone
                 | NotRunReason::Overloaded
         )
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -5,7 +5,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-use super::attempt::{Job, attempt, choose_server, failure_of, overdue_after};
+use super::attempt::{Job, NoServer, Path, attempt, choose_server, failure_of, overdue_after};
 use super::server_choice::Purpose;
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
@@ -36,8 +36,11 @@
     loop {
         if let Some(purpose) = purpose.take() {
             let now = tier.now();
-            let chosen = choose_server(tier, job, service, &run, purpose);
-            let granted = chosen.filter(|_| take_from_budget(tier, service, &run));
+            let chosen = choose_server(tier, job, service, &run, purpose, Path::Direct);
+            if matches!(chosen, Err(NoServer::RateLimited(_))) {
+                run.on_rate_limited();
+            }
+            let granted = chosen.ok().filter(|_| take_from_budget(tier, service, &run));
             match granted {
                 Some((server, health)) => {
                     run.on_sent(&server.record.id, now + overdue_after(&health));
