--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -60,11 +60,24 @@
     DropsIdleConnections,
 }
 
+/// How long a server is down after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_secs(2);
+/// Servers crash while they run a request whose path contains this.
+pub const CRASHING_PATH: &str = "/crash";
+
 #[derive(Debug)]
 struct FakeServer {
     mode: Mode,
     processing_time: Duration,
     rate: RateStatement,
+    /// When the server crashed last.
+    crashed_at: Option<Instant>,
+}
+
+impl FakeServer {
+    fn is_down(&self) -> bool {
+        self.crashed_at.is_some_and(|at| at.elapsed() < CRASH_DOWNTIME)
+    }
 }
 
 /// What all servers together have observed.
@@ -80,6 +93,8 @@
     pub cancelled: usize,
     /// The number of connections opened.
     pub connections: usize,
+    /// The number of crashes.
+    pub crashes: usize,
 }
 
 /// The fake servers of a test, by address, which also serve as its backend protocol.
@@ -97,7 +112,21 @@
     pub fn set_behaviour(&self, addr: SocketAddr, mode: Mode, processing_time: Duration) {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         let rate = servers.get(&addr).map_or(RateStatement::Unlimited, |server| server.rate);
-        servers.insert(addr, FakeServer { mode, processing_time, rate });
+        servers.insert(addr, FakeServer { mode, processing_time, rate, crashed_at: None });
+    }
+
+    /// Crashes a server, which ends all requests that it runs.
+    fn crash(&self, addr: SocketAddr) {
+        let mut servers = self.servers.lock().expect("no holder of the lock panics");
+        if let Some(server) = servers.get_mut(&addr) {
+            server.crashed_at = Some(Instant::now());
+            self.stats().crashes += 1;
+        }
+    }
+
+    fn is_down(&self, addr: SocketAddr) -> bool {
+        let servers = self.servers.lock().expect("no holder of the lock panics");
+        servers.get(&addr).is_some_and(FakeServer::is_down)
     }
 
     /// Sets what the replies of a server say about its rate limit.
@@ -144,6 +173,9 @@
     type Link = FakeLink;
 
     async fn connect(&self, addr: SocketAddr) -> io::Result<FakeLink> {
+        if self.is_down(addr) {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        }
         match self.behaviour(addr).0 {
             Mode::Unreachable => return Err(io::ErrorKind::ConnectionRefused.into()),
             Mode::CutOff => std::future::pending().await,
@@ -172,6 +204,9 @@
         let (mode, processing_time) = self.servers.behaviour(self.addr);
         let reused = std::mem::replace(&mut self.used, true);
         self.reusable = false;
+        if self.servers.is_down(self.addr) {
+            return ExchangeResult::Unsent;
+        }
         self.rate_statement = None;
         {
             let mut stats = self.servers.stats();
@@ -202,6 +237,12 @@
             if mode == Mode::NeverReplies { time_left * 2 } else { processing_time };
         tokio::time::sleep(processing_time).await;
         guard.1 = true;
+        if call.path.contains(CRASHING_PATH) && !self.servers.is_down(self.addr) {
+            self.servers.crash(self.addr);
+        }
+        if self.servers.is_down(self.addr) {
+            return ExchangeResult::Lost(UnknownReason::ConnectionLost);
+        }
         if mode == Mode::AbortsConnection {
             return ExchangeResult::Lost(UnknownReason::ConnectionLost);
         }
@@ -367,11 +408,16 @@
     /// Returns a request on a route: `all` gathers all shards, `one` is an idempotent request to
     /// shard 0, `once` a non-idempotent one. The `home-` routes allow servers of one region only.
     pub fn request(&mut self, route: &str) -> Request {
+        self.request_path(&format!("/{route}/x"))
+    }
+
+    /// Returns a request for a path.
+    pub fn request_path(&mut self, path: &str) -> Request {
         self.next_request += 1;
         Request {
             call: Call {
                 method: Method::GET,
-                path: format!("/{route}/x").into(),
+                path: path.into(),
                 host: HTTP_HOST.into(),
                 headers: HeaderMap::new(),
                 body: Bytes::new(),
@@ -383,7 +429,12 @@
 
     /// Serves one request and returns how long it took.
     pub async fn serve(&mut self, route: &str) -> (Served, Duration) {
-        let request = self.request(route);
+        self.serve_path(&format!("/{route}/x")).await
+    }
+
+    /// Serves one request for a path and returns how long it took.
+    pub async fn serve_path(&mut self, path: &str) -> (Served, Duration) {
+        let request = self.request_path(path);
         let began_at = self.tier.now();
         let served = serve(&self.tier, request).await;
         (served, self.tier.now() - began_at)
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -4,6 +4,7 @@
 
 mod caller_disconnects;
 mod connection_limits;
+mod crashing_requests;
 mod dropped_idle_connections;
 mod fact_exchange;
 mod fake;
