Quarantine requests that crash the servers which run them

Cause: each host forgot the request with its answer, and knew it by an id that is new each time, so nobody could see that it was the same request under which servers ended.

Change: a request is known by a hash of what a server gets to process. When a connection is lost under it, the host connects once more: a server that refuses the connection, and is in service, has crashed; one that was cut off, is too busy or restarts for a release has not. Hosts report crashes to each other at once, appended to gossip so that the build before ignores them. A suspect runs at one host at a time. A crash beside a suspect is blamed on the suspect alone; an answer clears a request. A gather retries one lost shard, not all. A request that was written to a connection which then proved dead, and could not be sent again, counted as not run; it now counts as unknown.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -8,11 +8,14 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{HeaderMap, Method};
 use smol_str::SmolStr;
 
 use crate::ids::{RequestId, ServerId};
 use crate::outcome::UnknownReason;
+use crate::process::quarantine::Fingerprint;
+use crate::version::config::stable_hash;
 
 /// Proves to callers that a reply comes from a backend server.
 pub type Signature = SmolStr;
@@ -34,6 +37,26 @@
     pub request_id: RequestId,
 }
 
+/// The seed of the fingerprint's hash; all hosts must use the same one.
+const FINGERPRINT_SEED: u64 = 0x7175_6574_7a61_6c05;
+
+impl Call {
+    /// Returns a hash of what a server is given to process. It is the same whenever a caller sends
+    /// the request again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let caller = self.headers.get(AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
+        let parts: [&[u8]; 5] = [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.path.as_bytes(),
+            caller,
+            &self.body,
+        ];
+        // Each part is hashed with the hash of those before it, so that their bounds count.
+        parts.iter().fold(FINGERPRINT_SEED, |seed, part| stable_hash(seed, part))
+    }
+}
+
 /// A complete reply of a backend server.
 #[derive(Debug, Clone)]
 pub struct Reply {
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -51,6 +51,8 @@
         BadRequest,
         /// The backend servers' rate limits allow no request at present. Never sent to other hosts.
         RateLimited,
+        /// The request has crashed servers that ran it. Never sent to other hosts.
+        Quarantined,
     }
 
     /// The reason why it is not known whether a request ran.
@@ -103,6 +105,7 @@
             Self::NotReady => "not_ready",
             Self::BadRequest => "bad_request",
             Self::RateLimited => "rate_limited",
+            Self::Quarantined => "quarantined",
         })
     }
 }
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -7,8 +7,9 @@
 
 use tokio::net::UdpSocket;
 
-use super::members::{Gossip, SAME_DOMAIN_GOSSIP_INTERVAL};
+use super::members::{Gossip, Heartbeat, SAME_DOMAIN_GOSSIP_INTERVAL};
 use crate::connection::exchange::BackendProtocol;
+use crate::process::quarantine::SuspectReport;
 use crate::process::servers::rate_limit::REPORT_INTERVAL;
 use crate::process::tier::Tier;
 
@@ -38,7 +39,11 @@
                 Err(error) => tracing::debug!(%error, "failed to receive a gossip datagram"),
             },
             _ = ticks.tick() => tick(&tier, &socket).await,
-            _ = report_timer.tick() => report_limits(&tier, &socket).await,
+            _ = report_timer.tick() => {
+                report_limits(&tier, &socket).await;
+                report_suspects(&tier, &socket).await;
+            }
+            () = tier.suspects_changed.notified() => report_suspects(&tier, &socket).await,
             () = tier.stopped.cancelled() => return Ok(()),
         }
     }
@@ -57,6 +62,7 @@
     let now = tier.now();
     if let Some(sender) = gossip.heartbeats.first() {
         tier.on_limit_reports(sender.ip, &gossip.limit_reports);
+        tier.on_suspect_reports(sender.ip, &gossip.suspect_reports);
     }
     let answer = tier.members().on_gossip(now, gossip);
     if let Some((to, gossip)) = answer {
@@ -77,7 +83,11 @@
         (messages, members.view(now))
     };
     log_changes(tier, &view);
-    tier.fleet.store(Arc::new(view));
+    let before = tier.fleet.swap(Arc::new(view.clone()));
+    let is_new = |host: &&Heartbeat| before.up.iter().all(|known| known.ip != host.ip);
+    let new: Vec<Ipv4Addr> = view.up.iter().filter(is_new).map(|host| host.ip).collect();
+    let suspects = tier.quarantine().reports(now, true);
+    send_suspects(tier, socket, new, suspects).await;
     for (to, gossip) in messages {
         send(tier, socket, to, &gossip).await;
     }
@@ -93,6 +103,27 @@
     }
 }
 
+/// Sends what changed lately about requests that may have crashed servers to all hosts.
+async fn report_suspects<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
+    let reports = tier.quarantine().reports(tier.now(), false);
+    let hosts = tier.fleet.load().up.iter().map(|host| host.ip).collect();
+    send_suspects(tier, socket, hosts, reports).await;
+}
+
+async fn send_suspects<B: BackendProtocol>(
+    tier: &Tier<B>,
+    socket: &UdpSocket,
+    hosts: Vec<Ipv4Addr>,
+    reports: Vec<SuspectReport>,
+) {
+    for reports in reports.chunks(MAX_REPORTS) {
+        let gossip = tier.members().suspect_message(reports.to_vec());
+        for host in &hosts {
+            send(tier, socket, *host, &gossip).await;
+        }
+    }
+}
+
 fn log_changes<B: BackendProtocol>(tier: &Tier<B>, view: &super::members::FleetView) {
     let before = tier.fleet.load();
     let has = |list: &[super::members::Heartbeat], ip| list.iter().any(|h| h.ip == ip);
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -16,6 +16,7 @@
 use crate::derive::key;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
 use crate::position::{Epochs, PlanOrder, Position};
+use crate::process::quarantine::SuspectReport;
 use crate::process::servers::rate_limit::LimitReport;
 
 /// Interval between gossip rounds to hosts of the same failure domain.
@@ -106,7 +107,7 @@
 }
 
 /// Gossip message between hosts.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Gossip {
     /// The sender's own heartbeat, followed by those that it received from others.
     pub heartbeats: Vec<Heartbeat>,
@@ -116,10 +117,13 @@
     /// message.
     #[serde(skip)]
     pub limit_reports: Vec<LimitReport>,
+    /// Requests that may have crashed servers. [`Gossip::encode`] appends them after the former.
+    #[serde(skip)]
+    pub suspect_reports: Vec<SuspectReport>,
 }
 
 /// The epochs of a message's heartbeats, which follow the message. Builds without epochs ignore
-/// bytes after the message, and builds without rate limits ignore bytes after the epochs.
+/// bytes after the message, and builds without reports ignore bytes after the epochs.
 #[derive(Debug, Serialize, Deserialize)]
 struct GossipExtension {
     /// The epochs of the first heartbeat, and of all others that are not listed.
@@ -133,7 +137,8 @@
     pub fn encode(&self) -> Vec<u8> {
         let message = postcard::to_stdvec(self).expect("plain data always serializes");
         let has_epochs = self.heartbeats.iter().any(|heartbeat| heartbeat.epochs.is_some());
-        if !has_epochs && self.limit_reports.is_empty() {
+        let has_reports = !self.limit_reports.is_empty() || !self.suspect_reports.is_empty();
+        if !has_epochs && !has_reports {
             return message;
         }
         let sender = self.heartbeats.first().and_then(|heartbeat| heartbeat.epochs);
@@ -144,9 +149,12 @@
             .map(|(index, heartbeat)| (index, heartbeat.epochs))
             .collect();
         let extended = postcard::to_extend(&GossipExtension { sender, differing }, message);
-        let extended = extended.and_then(|message| match self.limit_reports.as_slice() {
-            [] => Ok(message),
-            reports => postcard::to_extend(reports, message),
+        let extended = extended.and_then(|message| {
+            if !has_reports {
+                return Ok(message);
+            }
+            let message = postcard::to_extend(&self.limit_reports, message)?;
+            postcard::to_extend(&self.suspect_reports, message)
         });
         extended.expect("plain data always serializes")
     }
@@ -159,7 +167,7 @@
         }
         let (extension, rest) = postcard::take_from_bytes::<GossipExtension>(rest).ok()?;
         if !rest.is_empty() {
-            gossip.limit_reports = postcard::from_bytes(rest).ok()?;
+            (gossip.limit_reports, gossip.suspect_reports) = postcard::from_bytes(rest).ok()?;
         }
         for heartbeat in &mut gossip.heartbeats {
             heartbeat.epochs = extension.sender;
@@ -308,7 +316,7 @@
         };
         let gossip = |ip: Ipv4Addr| {
             let heartbeats = if in_other_domain(&ip) { &own_domain } else { &all };
-            (ip, Gossip { heartbeats: heartbeats.clone(), wants_answer, limit_reports: Vec::new() })
+            (ip, Gossip { heartbeats: heartbeats.clone(), wants_answer, ..Gossip::default() })
         };
         recipients.into_iter().map(gossip).collect()
     }
@@ -319,7 +327,12 @@
 
     /// Returns a message with reports of this host's use of limited servers.
     pub fn limit_message(&self, limit_reports: Vec<LimitReport>) -> Gossip {
-        Gossip { heartbeats: vec![self.me], wants_answer: false, limit_reports }
+        Gossip { heartbeats: vec![self.me], limit_reports, ..Gossip::default() }
+    }
+
+    /// Returns a message about requests that may have crashed servers.
+    pub fn suspect_message(&self, suspect_reports: Vec<SuspectReport>) -> Gossip {
+        Gossip { heartbeats: vec![self.me], suspect_reports, ..Gossip::default() }
     }
 
     /// Merges a gossip message. Returns a reply if the sender requested one, or if its own
@@ -353,7 +366,7 @@
             // heartbeats of its earlier process nevertheless.
             let earlier = self.others.get(ip).filter(|_| sender_is_stale);
             heartbeats.extend(earlier.map(|member| member.heartbeat));
-            Gossip { heartbeats, wants_answer: false, limit_reports: Vec::new() }
+            Gossip { heartbeats, ..Gossip::default() }
         };
         from.filter(|_| must_reply).map(|ip| (ip, reply(&ip)))
     }
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -4,11 +4,14 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::{Deserialize, Serialize};
+use smallvec::smallvec;
 
 use super::{DomainIndex, Gossip, GossipExtension, Heartbeat, Members, Phase};
 use crate::clock::Monotonic;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
 use crate::position::{Epochs, PlanOrder, Position};
+use crate::process::quarantine::{CrashReport, SuspectReport};
+use crate::process::servers::rate_limit::LimitReport;
 
 const DOMAINS: u8 = 4;
 
@@ -272,7 +275,7 @@
         ..heartbeat(n)
     };
     let heartbeats = (0..=u8::MAX).zip(epochs).map(heartbeat).collect();
-    Gossip { heartbeats, wants_answer: true, limit_reports: Vec::new() }
+    Gossip { heartbeats, wants_answer: true, ..Gossip::default() }
 }
 
 fn old_bytes(gossip: &Gossip) -> Vec<u8> {
@@ -411,7 +414,7 @@
         let mut members = Members::new(now, heartbeat(0), vec![]);
         for forwarded in case.known.into_iter().chain([case.arrives]) {
             let heartbeats = vec![heartbeat(2), forwarded];
-            let gossip = Gossip { heartbeats, wants_answer: false, limit_reports: Vec::new() };
+            let gossip = Gossip { heartbeats, ..Gossip::default() };
             members.on_gossip(now, gossip);
         }
         let known = members.others.get(&ip(1)).map(|member| member.heartbeat);
@@ -420,3 +423,42 @@
         assert_eq!(known, expected, "{}", case.name);
     }
 }
+
+/// The message of the build before reports, which reads only the epochs after the heartbeats.
+#[derive(Debug, Serialize, Deserialize)]
+struct GossipBeforeReports {
+    heartbeats: Vec<Heartbeat>,
+    wants_answer: bool,
+}
+
+/// Guards against hosts of the build before that discard messages with reports.
+#[test]
+fn reports_do_not_keep_older_builds_from_reading_a_message() {
+    let report =
+        LimitReport { server: "s".into(), per_s: Some(20.0), age_ms: 5, demand_per_s: 1.5 };
+    let suspect = SuspectReport {
+        fingerprint: 7,
+        crashes: smallvec![CrashReport { run: 9, age_ms: 3, alone: true }],
+        answered_ms_ago: None,
+        trial_ms_ago: Some(4),
+    };
+    for epochs in [None, Some(Epochs { source: 3, plan_series: 1 })] {
+        let heartbeats = vec![Heartbeat { epochs, ..heartbeat(1) }];
+        for (limit_reports, suspect_reports) in [
+            (vec![report.clone()], vec![]),
+            (vec![], vec![suspect.clone()]),
+            (vec![report.clone()], vec![suspect.clone()]),
+        ] {
+            let heartbeats = heartbeats.clone();
+            let gossip = Gossip { heartbeats, limit_reports, suspect_reports, wants_answer: true };
+            let bytes = gossip.encode();
+            assert_eq!(Gossip::decode(&bytes).as_ref(), Some(&gossip));
+            let (before, rest) = postcard::take_from_bytes::<GossipBeforeReports>(&bytes)
+                .expect("the heartbeats are readable");
+            assert_eq!((before.heartbeats.len(), before.wants_answer), (1, true));
+            let extension: GossipExtension =
+                postcard::from_bytes(rest).expect("the epochs are readable");
+            assert_eq!(extension.sender, epochs);
+        }
+    }
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -26,6 +26,8 @@
     rate_limit_changes: Counter<u64>,
     rate_limited: Counter<u64>,
     rate_limited_servers: Gauge<u64>,
+    quarantines: Counter<u64>,
+    quarantined_requests: Gauge<u64>,
 }
 
 impl Metrics {
@@ -91,6 +93,14 @@
                 .u64_gauge("rate_limited_servers")
                 .with_description("Backend servers with a rate limit in force")
                 .build(),
+            quarantines: meter
+                .u64_counter("quarantines")
+                .with_description("Times that a request was quarantined because servers crash that run it")
+                .build(),
+            quarantined_requests: meter
+                .u64_gauge("quarantined_requests")
+                .with_description("Requests in quarantine, by their content")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -147,6 +157,14 @@
         self.rate_limited_servers.record(count, &[]);
     }
 
+    pub(crate) fn quarantine(&self) {
+        self.quarantines.add(1, &[]);
+    }
+
+    pub(crate) fn quarantined_requests(&self, count: u64) {
+        self.quarantined_requests.record(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod keeper;
 pub mod membership;
 pub(crate) mod metrics;
+pub mod quarantine;
 pub mod record;
 pub mod servers;
 pub mod shutdown;
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -8,7 +8,8 @@
 
 use arc_swap::ArcSwap;
 use smallvec::SmallVec;
-use tokio::sync::mpsc;
+use smol_str::format_smolstr;
+use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
@@ -17,6 +18,7 @@
 use super::membership::domain_paths::DomainPaths;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
+use super::quarantine::{Fingerprint, Quarantine, RunId, SuspectChange, SuspectReport};
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
 use super::servers::passive_health::PassiveHealth;
 use super::servers::rate_limit::{LimitChange, LimitReport, RateLimits};
@@ -24,7 +26,7 @@
     Change, EpochChange, LiveServer, Registry, ServerRecord, ServerView,
 };
 use super::servers::split::WeightedRoundRobin;
-use crate::clock::{Clock, Monotonic};
+use crate::clock::{Clock, Monotonic, millis};
 use crate::connection::exchange::{BackendProtocol, RateStatement};
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
@@ -96,6 +98,8 @@
     pub stop_accepting: CancellationToken,
     /// Cancelled once the host stops.
     pub stopped: CancellationToken,
+    /// Notified when other hosts must learn of a request that may have crashed a server.
+    pub(crate) suspects_changed: Notify,
     pub(crate) metrics: Metrics,
     received_facts: Mutex<Option<mpsc::UnboundedReceiver<Facts>>>,
     domains: HashMap<DomainId, DomainIndex>,
@@ -105,6 +109,7 @@
     cold_rate_limiter: Mutex<ColdRateLimiter>,
     rate_limits: Mutex<RateLimits>,
     retry_schedule: Mutex<RetrySchedule>,
+    quarantine: Mutex<Quarantine>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
     paths: Mutex<DomainPaths>,
     extra: Mutex<ExtraAttemptBudget>,
@@ -149,11 +154,13 @@
             leaving: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
             stopped: CancellationToken::new(),
+            suspects_changed: Notify::new(),
             metrics: Metrics::new(),
             domains,
             passive_health: Mutex::default(),
             cold_rate_limiter: Mutex::default(),
             retry_schedule: Mutex::default(),
+            quarantine: Mutex::default(),
             suspicion: Mutex::default(),
             paths: Mutex::default(),
             split: Mutex::default(),
@@ -277,6 +284,72 @@
         tracing::info!(%server, from, to, source, "rate limit of a server changed");
     }
 
+    /// Locks and returns the requests that may have crashed servers.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().expect("no holder of the lock panics")
+    }
+
+    /// Handles the crash of a server while a request was running.
+    pub fn on_crash(&self, server: &ServerId, fingerprint: Fingerprint, run: RunId) {
+        let change = self.quarantine().on_crash(self.now(), server, fingerprint, run);
+        self.on_suspect_change(fingerprint, change, server);
+        if change.is_some() {
+            self.suspects_changed.notify_one();
+        }
+    }
+
+    /// Handles a server's reply to a request.
+    pub fn on_answered(&self, server: &ServerId, fingerprint: Fingerprint) {
+        let change = self.quarantine().on_answered(self.now(), fingerprint);
+        self.on_suspect_change(fingerprint, change, server);
+        if change.is_some() {
+            self.suspects_changed.notify_one();
+        }
+    }
+
+    /// Begins the run of a suspect, if the request is one.
+    pub fn begin_trial(&self, fingerprint: Fingerprint) -> bool {
+        let begun = self.quarantine().begin_trial(self.now(), fingerprint);
+        if begun {
+            self.suspects_changed.notify_one();
+        }
+        begun
+    }
+
+    /// Handles reports of another host about requests that may have crashed servers.
+    pub fn on_suspect_reports(&self, from: Ipv4Addr, reports: &[SuspectReport]) {
+        let now = self.now();
+        for report in reports {
+            let change = self.quarantine().on_report(now, report);
+            self.on_suspect_change(report.fingerprint, change, &from);
+        }
+    }
+
+    fn on_suspect_change(
+        &self,
+        fingerprint: Fingerprint,
+        change: Option<SuspectChange>,
+        source: &dyn std::fmt::Display,
+    ) {
+        let fingerprint = format_smolstr!("{fingerprint:016x}");
+        match change {
+            None => {}
+            Some(SuspectChange::Suspected) => {
+                tracing::info!(%fingerprint, %source, "server crashed while it ran a request");
+            }
+            Some(SuspectChange::Quarantined(left)) => {
+                self.metrics.quarantine();
+                let for_ms = millis(left);
+                tracing::warn!(
+                    %fingerprint, %source, for_ms, "request quarantined: servers crash that run it"
+                );
+            }
+            Some(SuspectChange::Cleared) => {
+                tracing::info!(%fingerprint, %source, "request answered; it is no suspect");
+            }
+        }
+    }
+
     /// Returns the reports of this host's use of limited servers, by the host that needs them: the
     /// hosts in the server's failure domain, and those that use the server as well.
     pub fn limit_reports(&self) -> Vec<(Ipv4Addr, Vec<LimitReport>)> {
@@ -620,6 +693,12 @@
             rate_limits.in_force()
         };
         self.metrics.rate_limited_servers(limited as u64);
+        let quarantined = {
+            let mut quarantine = self.quarantine();
+            quarantine.evict(now);
+            quarantine.quarantined(now)
+        };
+        self.metrics.quarantined_requests(quarantined as u64);
     }
 
     /// Counts a caller's request as running until the returned guard is dropped.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,6 +1,8 @@
 //! Makes one attempt at one backend server.
 
+use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::{Stream, StreamExt};
@@ -11,13 +13,15 @@
 use crate::connection::server_pool::{ASSUMED_ALIVE_FOR, ConnectionPermit};
 use crate::ids::{ConfigVersion, ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::quarantine::{Fingerprint, RunId};
 use crate::process::servers::passive_health::{AttemptEnd, PassiveHealth, ServerHealth, Ticket};
 use crate::process::servers::registry::{LiveServer, ServerRecord};
 use crate::process::tier::Tier;
 use crate::request::baseline::Baseline;
 use crate::request::server_choice::{Candidate, Purpose, pick};
 use crate::request::shard_run::ShardRun;
-use crate::version::plan::{Idempotency, Route};
+use crate::version::config::stable_hash;
+use crate::version::plan::{Idempotency, Route, Target};
 
 /// Timeout for opening a connection: a live server accepts within a few milliseconds, a lost host
 /// never answers.
@@ -28,6 +32,13 @@
 /// A server whose expected time exceeds the typical time by this factor is declined unless the call
 /// insists, so that the calling host can choose another one.
 const DECLINE_FACTOR: f64 = 2.5;
+/// Timeout for the connection that shows whether a server has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// After a crash, a request is sent again only after this time, so that other hosts can report that
+/// the same request has crashed servers there.
+pub const CRASH_SETTLE_TIME: Duration = Duration::from_millis(15);
+/// The seed of the hash that identifies a run.
+const RUN_ID_SEED: u64 = 0x7175_6574_7a61_6c06;
 /// Random variation of the cost when servers are compared, as a share.
 const JITTER: f64 = 0.1;
 
@@ -50,6 +61,52 @@
     pub typical: Duration,
     /// The baseline latency of this request, once it is established.
     pub baseline: Baseline,
+    /// Identifies the request by its content.
+    pub fingerprint: Fingerprint,
+    /// Whether the request is a suspect whose run was announced to the other hosts.
+    pub in_trial: AtomicBool,
+}
+
+impl Job {
+    /// Tells whether the request may be sent once more, after a server may have crashed because of
+    /// it. A suspect's next run must be the only one among all hosts.
+    pub fn may_send_again<B: BackendProtocol>(&self, tier: &Tier<B>) -> bool {
+        let now = tier.now();
+        let allowed = {
+            let quarantine = tier.quarantine();
+            if !quarantine.is_suspect(self.fingerprint) {
+                return true;
+            }
+            if self.in_trial.load(Ordering::Relaxed) {
+                !quarantine.is_quarantined(now, self.fingerprint)
+            } else {
+                quarantine.check(now, self.fingerprint).is_ok()
+            }
+        };
+        if allowed {
+            self.begin_trial(tier);
+        }
+        allowed
+    }
+
+    /// Announces the run of the request to the other hosts if it is a suspect.
+    pub fn begin_trial<B: BackendProtocol>(&self, tier: &Tier<B>) {
+        if tier.begin_trial(self.fingerprint) {
+            self.in_trial.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns what identifies a run of this request at a server. A crash is attributed to a run. The
+    /// first attempts at all shards are one run, since the servers may have crashed together for
+    /// another reason; each run of a suspect stands for itself.
+    fn run_id(&self, server: &ServerId) -> RunId {
+        let request = stable_hash(RUN_ID_SEED, self.call.request_id.as_bytes());
+        let is_gather = matches!(self.route.target, Target::Gather(_));
+        if is_gather && !self.in_trial.load(Ordering::Relaxed) {
+            return request;
+        }
+        stable_hash(request, server.as_bytes())
+    }
 }
 
 /// Why no server can be chosen.
@@ -277,30 +334,42 @@
         Idempotency::NonIdempotent => ASSUMED_ALIVE_FOR,
     };
     let mut idle = tier.pool.take(tier.now(), id, record.addr, idle_for);
+    // Whether the request was written to a connection that was lost, so that it may have run.
+    let mut lost = false;
     loop {
         let reused = idle.is_some();
         let (mut link, slot) = match idle.take() {
             Some(link) => (link, ConnectionPermit::for_taken(&tier.pool, id)),
             None => match open(tier, job, server).await {
                 Ok(opened) => opened,
+                Err(_) if lost => {
+                    // The connection was lost because the server has gone, not because it was idle.
+                    on_connection_lost(tier, job, record).await;
+                    return Outcome::Unknown(UnknownReason::ConnectionLost);
+                }
                 Err(reason) => return Outcome::NotRun(reason),
             },
         };
+        let not_run = |reason| match lost {
+            true => Outcome::Unknown(UnknownReason::ConnectionLost),
+            false => Outcome::NotRun(reason),
+        };
         if !tier.servers.load().may_send(id) {
             guard.end = AttemptEnd::NotSent;
-            return Outcome::NotRun(NotRunReason::Draining);
+            return not_run(NotRunReason::Draining);
         }
         let began_at = tier.now();
         let left = job.deadline.saturating_sub(began_at);
         if left.is_zero() {
-            return Outcome::NotRun(NotRunReason::DeadlineTooClose);
+            return not_run(NotRunReason::DeadlineTooClose);
         }
         if !tier.try_take_cold_token(server) {
-            return Outcome::NotRun(NotRunReason::NoPermission);
+            return not_run(NotRunReason::NoPermission);
         }
         if !tier.try_take_rate_token(id) {
-            return Outcome::NotRun(NotRunReason::RateLimited);
+            return not_run(NotRunReason::RateLimited);
         }
+        let running = RunningGuard::new(tier, id, job.fingerprint);
         let exchanged = link.exchange(&job.call, id, left).await;
         if let Some(statement) = link.rate_statement() {
             tier.on_rate_statement(id, began_at, statement);
@@ -312,22 +381,68 @@
             slot.return_to_pool(tier.now(), link, began_at, may_idle);
         }
         return match exchanged {
-            ExchangeResult::Reply(reply) => Outcome::Answered(reply),
-            ExchangeResult::Shed => Outcome::NotRun(NotRunReason::Shed),
-            ExchangeResult::WrongServer => Outcome::NotRun(NotRunReason::ServerLeaving),
+            ExchangeResult::Reply(reply) => {
+                // Other shards may still crash their servers.
+                if !matches!(job.route.target, Target::Gather(_)) {
+                    tier.on_answered(id, job.fingerprint);
+                }
+                Outcome::Answered(reply)
+            }
+            ExchangeResult::Shed => not_run(NotRunReason::Shed),
+            ExchangeResult::WrongServer => not_run(NotRunReason::ServerLeaving),
             ExchangeResult::Unsent if reused => continue,
             ExchangeResult::Lost(UnknownReason::ConnectionLost)
                 if reused && may_resend_after_reset(tier, job, record, began_at) =>
             {
                 tier.pool.invalidate(tier.now(), id);
+                lost = true;
                 continue;
             }
-            ExchangeResult::Unsent => Outcome::NotRun(NotRunReason::Unreachable),
+            ExchangeResult::Lost(UnknownReason::ConnectionLost) => {
+                on_connection_lost(tier, job, record).await;
+                drop(running);
+                Outcome::Unknown(UnknownReason::ConnectionLost)
+            }
+            ExchangeResult::Unsent => not_run(NotRunReason::Unreachable),
             ExchangeResult::Lost(reason) => Outcome::Unknown(reason),
         };
     }
 }
 
+/// Counts a request as running at a server until it is dropped.
+struct RunningGuard<'a, B: BackendProtocol> {
+    tier: &'a Tier<B>,
+    server: &'a ServerId,
+    fingerprint: Fingerprint,
+}
+
+impl<'a, B: BackendProtocol> RunningGuard<'a, B> {
+    fn new(tier: &'a Tier<B>, server: &'a ServerId, fingerprint: Fingerprint) -> Self {
+        tier.quarantine().on_sent(server, fingerprint);
+        Self { tier, server, fingerprint }
+    }
+}
+
+impl<B: BackendProtocol> Drop for RunningGuard<'_, B> {
+    fn drop(&mut self) {
+        self.tier.quarantine().on_ended(self.server, self.fingerprint);
+    }
+}
+
+/// Finds out whether a server crashed while it ran a request.
+///
+/// A server that only closed a connection, or is too busy to keep it, still accepts connections; one
+/// that was cut off answers nothing; one that restarts for a release is no longer in service.
+async fn on_connection_lost<B: BackendProtocol>(tier: &Tier<B>, job: &Job, record: &ServerRecord) {
+    let connected =
+        tokio::time::timeout(CRASH_CHECK_TIMEOUT, tier.backend.connect(record.addr)).await;
+    let refused =
+        matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+    if refused && tier.servers.load().may_send(&record.id) {
+        tier.on_crash(&record.id, job.fingerprint, job.run_id(&record.id));
+    }
+}
+
 /// Tells whether a reused connection failed because the server had already dropped it, so that an
 /// idempotent request may be sent again on a new one. The resend is taken out of the budget of
 /// extra attempts, since the first may have arrived.
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -1,8 +1,11 @@
 //! Serves a caller's request, from admission to the answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use smol_str::format_smolstr;
+
 use super::attempt::Job;
 use super::baseline::Baseline;
 use super::scatter::{Gathered, scatter};
@@ -10,6 +13,7 @@
 use crate::clock::{Monotonic, millis};
 use crate::connection::exchange::{BackendProtocol, Call, Reply};
 use crate::outcome::{NotRunReason, Outcome};
+use crate::process::quarantine::Refusal;
 use crate::process::tier::Tier;
 use crate::version::plan::{Route, Target};
 
@@ -99,6 +103,13 @@
         return Served::of(Outcome::Answered(Answer::NoRoute));
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at));
+    let admission = tier.quarantine().check(began_at, job.fingerprint);
+    if let Err(Refusal { retry_after }) = admission {
+        let outcome = Outcome::NotRun(NotRunReason::Quarantined);
+        log(tier, &job, &outcome, began_at, plan.version);
+        return Served { outcome, retry_after };
+    }
+    job.begin_trial(tier);
     let outcome = match &job.route.target {
         Target::Service(service) => single(tier, &job, service).await.map(Answer::Forwarded),
         Target::Split(parts) => {
@@ -110,6 +121,9 @@
         }
         Target::Gather(rule) => scatter(tier, &job, rule, plan.version).await.map(Answer::Gathered),
     };
+    if job.in_trial.load(Ordering::Relaxed) {
+        tier.quarantine().end_trial(job.fingerprint);
+    }
     log(tier, &job, &outcome, began_at, plan.version);
     if matches!(outcome, Outcome::NotRun(NotRunReason::Unreachable)) && tier.is_cut_off() {
         return Served::elsewhere(outcome);
@@ -134,6 +148,8 @@
     let target_left = if used < target { target - used } else { target };
     let typical = tier.passive_health().typical(&route.id, target);
     Job {
+        fingerprint: request.call.fingerprint(),
+        in_trial: AtomicBool::new(false),
         call: request.call,
         deadline: began_at + timeout.saturating_sub(DEADLINE_MARGIN.min(timeout / 4)),
         soft_deadline: began_at + target_left.saturating_sub(reply_margin(target)),
@@ -168,12 +184,13 @@
     let why = match outcome {
         Outcome::Answered(_) if took <= allowed => return,
         Outcome::Answered(_) => "late".into(),
-        Outcome::NotRun(reason) => smol_str::format_smolstr!("{reason}"),
-        Outcome::Unknown(reason) => smol_str::format_smolstr!("{reason}"),
+        Outcome::NotRun(reason) => format_smolstr!("{reason}"),
+        Outcome::Unknown(reason) => format_smolstr!("{reason}"),
     };
     let position = tier.servers.load().position;
     tracing::info!(
         request = %job.call.request_id, route = %job.route.id, outcome = name, why = %why,
+        fingerprint = %format_smolstr!("{:016x}", job.fingerprint),
         took_ms = millis(took), allowed_ms = millis(allowed), version,
         servers_epoch = position.epoch, servers_revision = position.revision,
         "request ended"
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 use super::timer::sleep_until;
 use crate::clock::{Monotonic, micros, millis};
 use crate::connection::accept::accept;
-use crate::connection::exchange::{BackendProtocol, Reply};
+use crate::connection::exchange::{BackendProtocol, Call, Reply};
 use crate::connection::peer_frame::{
     CallId, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode, encode,
 };
@@ -156,6 +157,15 @@
             records: TopRecords::new(keep),
         };
         let request = call.request.into_call();
+        let quarantined =
+            |request: &Call| tier.quarantine().is_quarantined(began_at, request.fingerprint());
+        if request.as_ref().is_some_and(quarantined) {
+            for shard in &call.shards {
+                relayed.decline(*shard, Purpose::Needed);
+            }
+            relayed.flush(&tier, None).await;
+            return;
+        }
         let (Some(route), Some(rule), Some(request)) = (route, rule, request) else {
             // Nothing is sent under a different plan; the calling host sends the requests itself.
             let gone = |shard| RelayFailure {
@@ -168,7 +178,11 @@
             return;
         };
         let deadline = began_at + Duration::from_millis(u64::from(call.left_ms));
+        let fingerprint = request.fingerprint();
+        let in_trial = tier.quarantine().is_suspect(fingerprint);
         let job = Arc::new(Job {
+            fingerprint,
+            in_trial: AtomicBool::new(in_trial),
             call: request,
             deadline,
             soft_deadline: deadline,
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -10,7 +10,8 @@
 use smol_str::SmolStr;
 
 use super::attempt::{
-    Job, NoServer, Path, attempt, choose_server, failure_of, finish_remaining, overdue_after,
+    CRASH_SETTLE_TIME, Job, NoServer, Path, attempt, choose_server, failure_of, finish_remaining,
+    overdue_after,
 };
 use super::baseline::{late_after, late_after_with_slowness};
 use super::dispatch::{
@@ -64,6 +65,8 @@
     extra: u32,
     /// Set once a relay has reported another plan version; all later attempts go directly.
     direct_only: bool,
+    /// The number of shards whose servers may have crashed because of this request.
+    crashes: u32,
 }
 
 /// Sends a request to all shards of a route and gathers their parts.
@@ -90,6 +93,7 @@
         record_count: rule.record_count,
         extra: 0,
         direct_only: false,
+        crashes: 0,
     };
     let (reachable, within_limits) = scatter.reachable();
     if reachable < needed {
@@ -266,6 +270,10 @@
                 return None;
             }
         };
+        if run.send_count() > 0 && !self.job.may_send_again(self.tier) {
+            run.cancel_check();
+            return None;
+        }
         if run.send_count() == 0 {
             self.tier.extra().on_first(now, service);
         } else if run.is_extra() {
@@ -404,7 +412,18 @@
         if run.refund_due(server, &failure) {
             self.tier.extra().refund(self.tier.now(), &self.shards[shard]);
         }
+        let crashed = failure == Outcome::Unknown(UnknownReason::ConnectionLost)
+            && self.tier.quarantine().is_suspect(self.job.fingerprint);
         match run.on_failure(self.tier.now(), server, failure, self.job.route.attempts) {
+            Next::Retry if crashed => {
+                // One more server shows whether the request is the cause. Without this limit, it
+                // could take down the remaining servers of all shards.
+                self.crashes += 1;
+                if self.crashes == 1 {
+                    run.schedule_check(self.tier.now() + CRASH_SETTLE_TIME);
+                }
+                None
+            }
             Next::Retry => self.start(shard, Purpose::Needed),
             Next::Wait => None,
         }
@@ -505,6 +524,9 @@
         self.log(missing);
         self.tier.metrics.missing(&self.job.route.id, missing as u64);
         self.tier.metrics.attempts("extra", u64::from(self.extra));
+        if missing == 0 {
+            self.tier.on_answered(&SmolStr::new_static("all shards"), self.job.fingerprint);
+        }
         if covered >= needed {
             let (signatures, records) = self.parts.finish(self.record_count);
             return Outcome::Answered(Gathered { signatures, missing, records });
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -4,8 +4,11 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use smol_str::format_smolstr;
 
-use super::attempt::{Job, NoServer, Path, attempt, choose_server, failure_of, overdue_after};
+use super::attempt::{
+    CRASH_SETTLE_TIME, Job, NoServer, Path, attempt, choose_server, failure_of, overdue_after,
+};
 use super::server_choice::Purpose;
 use super::shard_run::{Next, ShardRun};
 use super::timer::sleep_until;
@@ -40,7 +43,11 @@
             if matches!(chosen, Err(NoServer::RateLimited(_))) {
                 run.on_rate_limited();
             }
-            let granted = chosen.ok().filter(|_| take_from_budget(tier, service, &run));
+            let first = run.send_count() == 0;
+            let granted = chosen
+                .ok()
+                .filter(|_| first || job.may_send_again(tier))
+                .filter(|_| take_from_budget(tier, service, &run));
             match granted {
                 Some((server, health)) => {
                     run.on_sent(&server.record.id, now + overdue_after(&health));
@@ -74,7 +81,7 @@
                 };
                 tracing::info!(
                     request = %job.call.request_id, route = %job.route.id, server = %server,
-                    failure = ?failure, status, "attempt failed"
+                    fingerprint = %format_smolstr!("{:016x}", job.fingerprint), failure = ?failure, status, "attempt failed"
                 );
                 if let Outcome::Answered(reply) = failed {
                     server_failure = Some(reply);
@@ -84,7 +91,9 @@
                 if !may_run_again {
                     break;
                 }
-                if next == Next::Retry {
+                if next == Next::Retry && tier.quarantine().is_suspect(job.fingerprint) {
+                    run.schedule_check(tier.now() + CRASH_SETTLE_TIME);
+                } else if next == Next::Retry {
                     purpose = Some(Purpose::Needed);
                 } else if run.is_exhausted() {
                     break;
--- a/tests/tier/refused_routes.rs
+++ b/tests/tier/refused_routes.rs
@@ -51,8 +51,7 @@
             ..own
         };
         let heartbeats = (1..).zip(&self.peers).map(heartbeat).collect();
-        members
-            .on_gossip(now, Gossip { heartbeats, wants_answer: false, limit_reports: Vec::new() });
+        members.on_gossip(now, Gossip { heartbeats, ..Gossip::default() });
         host.tier.fleet.store(Arc::new(members.view(now)));
     }
 }
