--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -7,6 +7,7 @@
 
 use futures::{Stream, StreamExt};
 use smallvec::SmallVec;
+use tokio::time::timeout;
 
 use crate::clock::Monotonic;
 use crate::connection::exchange::{BackendProtocol, Call, Exchange, ExchangeResult, Reply};
@@ -370,7 +371,13 @@
             return not_run(NotRunReason::RateLimited);
         }
         let running = RunningGuard::new(tier, id, job.fingerprint);
-        let exchanged = link.exchange(&job.call, id, left).await;
+        // Bytes that arrive slowly would keep an attempt alive that nobody waits for, for example at
+        // a relay whose calling host is lost.
+        let time_limit = left + REMAINING_TIMEOUT;
+        let exchanged = match timeout(time_limit, link.exchange(&job.call, id, left)).await {
+            Ok(exchanged) => exchanged,
+            Err(_) => return Outcome::Unknown(UnknownReason::TimedOut),
+        };
         if let Some(statement) = link.rate_statement() {
             tier.on_rate_statement(id, began_at, statement);
         }
@@ -434,8 +441,7 @@
 /// A server that only closed a connection, or is too busy to keep it, still accepts connections; one
 /// that was cut off answers nothing; one that restarts for a release is no longer in service.
 async fn on_connection_lost<B: BackendProtocol>(tier: &Tier<B>, job: &Job, record: &ServerRecord) {
-    let connected =
-        tokio::time::timeout(CRASH_CHECK_TIMEOUT, tier.backend.connect(record.addr)).await;
+    let connected = timeout(CRASH_CHECK_TIMEOUT, tier.backend.connect(record.addr)).await;
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
     if refused && tier.servers.load().may_send(&record.id) {
@@ -470,7 +476,7 @@
     };
     let began_at = tier.now();
     let left = job.deadline.saturating_sub(began_at).min(CONNECT_TIMEOUT);
-    match tokio::time::timeout(left, tier.backend.connect(record.addr)).await {
+    match timeout(left, tier.backend.connect(record.addr)).await {
         Ok(Ok(link)) => Ok((link, slot)),
         Ok(Err(error)) => {
             tracing::debug!(
@@ -489,7 +495,7 @@
 pub async fn finish_remaining(mut running: impl Stream + Unpin) {
     let all = async { while running.next().await.is_some() {} };
     // Dropping the attempts that still run closes their connections.
-    let _ = tokio::time::timeout(REMAINING_TIMEOUT, all).await;
+    let _ = timeout(REMAINING_TIMEOUT, all).await;
 }
 
 /// Returns the time after which an attempt is overdue and a hedge is worth trying.
