Let the soak state rate limits and send requests that crash servers

What callers saw: nothing; the soak played neither, and no real process had met them.

Change: servers state rate limits for most of a run; a caller repeats a request that crashes the server which runs it, and the server's port refuses connections until it is back. Both are drawn apart from the other faults, which stay the same for a seed. Checked: a limited server gets no more than 1.5 times its limit and 5 in 4 s while all hosts are undisturbed; a request that crashed three servers reaches servers at most three times more, from 4 s later on.

--- a/soak/src/bounds.rs
+++ b/soak/src/bounds.rs
@@ -14,6 +14,13 @@
 /// A host may handle a request by an older plan for this long after a newer one took effect.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
+/// The span in which requests to a server with a rate limit are counted, and the time after which a
+/// host must know of the limit.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+const LIMIT_NOTICE: Duration = Duration::from_millis(500);
+/// How often a request may reach servers although it has crashed three of them.
+const MAX_LATER_RUNS: usize = 3;
+
 /// Returns all violations of bounds.
 pub fn check(world: &World, requests: &[SentRequest]) -> Vec<Violation> {
     let mut violations = check_plans(world, requests);
@@ -29,6 +36,50 @@
     violations
 }
 
+/// Checks that servers which stated a rate limit did not get more requests than it tolerates, while
+/// all hosts were undisturbed.
+pub fn check_rate_limits(world: &World) -> Vec<Violation> {
+    let arrivals = world.request_log.arrivals();
+    let limits = world.rate_limits.lock().expect("no holder of the lock panics");
+    let mut violations = Vec::new();
+    for limit in limits.iter() {
+        let at: Vec<Instant> = arrivals
+            .iter()
+            .filter(|arrival| arrival.server == limit.server)
+            .map(|arrival| arrival.at)
+            .filter(|at| *at >= limit.from + LIMIT_NOTICE && *at < limit.until)
+            .collect();
+        let tolerated = limit.per_s * LIMIT_SPAN.as_secs_f64() * 1.5 + 5.0;
+        let spans = at.iter().map(|from| {
+            (*from, at.iter().filter(|at| **at >= *from && **at < *from + LIMIT_SPAN).count())
+        });
+        let steady =
+            |from: Instant| world.hosts.iter().all(|h| h.is_steady(from, from + LIMIT_SPAN));
+        let worst = spans.filter(|(from, _)| steady(*from)).max_by_key(|(_, count)| *count);
+        if let Some((_, count)) = worst.filter(|(_, count)| *count as f64 > tolerated) {
+            let detail =
+                format!("{}: {count} in {LIMIT_SPAN:?}, limit {}", limit.server, limit.per_s);
+            let reason = "a server got more requests than its rate limit tolerates";
+            violations.push(Violation { reason, detail });
+        }
+    }
+    violations
+}
+
+/// Checks that a request is hardly sent any more some time after it has crashed three servers.
+pub fn check_crashes(world: &World) -> Vec<Violation> {
+    let crashes = world.request_log.crashes_after(0);
+    let Some(third) = crashes.get(2) else { return Vec::new() };
+    let later =
+        |arrival: &&Arrival| arrival.path == third.path && arrival.at > third.at + STABLE_WINDOW;
+    let count = world.request_log.arrivals().iter().filter(later).count();
+    if count <= MAX_LATER_RUNS {
+        return Vec::new();
+    }
+    let detail = format!("{count} times, {} crashes in all", crashes.len());
+    vec![Violation { reason: "a request that had crashed three servers was sent again", detail }]
+}
+
 fn check_plans(world: &World, requests: &[SentRequest]) -> Vec<Violation> {
     let mut violations = Vec::new();
     for host in &world.hosts {
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -13,7 +13,8 @@
     DEADLINE_MS, MISSING_PARTS, PART_STAMPS, REQUEST_ID, RESPONSE_STAMP, directory_addrs,
     directory_path,
 };
-use quetzal_platform_standin::settings::{ADDED_ROUTES, DIRECTORY_PORT, HOST_NAME};
+use quetzal_platform_standin::server::CRASHING_PATH;
+use quetzal_platform_standin::settings::{ADDED_ROUTES, CALLER_PORT, DIRECTORY_PORT, HOST_NAME};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -31,6 +32,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The mean pause between two requests of a caller.
 const MEAN_PAUSE: Duration = Duration::from_millis(25);
+/// The mean pause between two requests that crash servers.
+const CRASHING_PAUSE: Duration = Duration::from_millis(300);
 /// The mean pause between two probes of a host.
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// One request in this many may run at most once; the others are idempotent.
@@ -66,6 +69,8 @@
     All,
     /// A request to one service that may run at most once.
     One,
+    /// A request that crashes the server which runs it; it may run at most once.
+    Crashing,
     /// A request to one service on a route that only some plans name.
     Added(u64),
 }
@@ -75,6 +80,7 @@
         match self {
             Self::All => "/all/x".to_owned(),
             Self::One => "/one/x".to_owned(),
+            Self::Crashing => format!("/one{CRASHING_PATH}"),
             Self::Added(n) => format!("/added-{n}/x"),
         }
     }
@@ -147,6 +153,27 @@
     }
 }
 
+/// Sends the same request, which crashes servers, to one host after another until `stop_at`.
+pub async fn send_crashing(
+    world: Arc<World>,
+    n: usize,
+    mut rng: SmallRng,
+    sent_requests: SentRequests,
+    stop_at: Instant,
+) {
+    let mut count = 0_u32;
+    while Instant::now() < stop_at {
+        tokio::time::sleep(CRASHING_PAUSE.mul_f64(rng.random_range(0.5..1.5))).await;
+        let host = world.hosts.choose(&mut rng).expect("there are hosts");
+        let host = (host.ip, CALLER_PORT).into();
+        let Some(sender) = connect(host).await else { continue };
+        count += 1;
+        let id = format!("k{n}-{count}");
+        let (request, _) = send(&mut CallerConnection { host, sender }, id, Route::Crashing).await;
+        sent_requests.lock().expect("no holder of the lock panics").push(request);
+    }
+}
+
 /// Asks one host until `stop_at` for routes that were added or dropped lately, or never existed.
 pub async fn probe(
     world: Arc<World>,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use quetzal_platform_standin::server::{Mode, Server};
 use quetzal_platform_standin::settings;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 
 use serde_json::json;
@@ -16,7 +16,7 @@
 use crate::invariants::Violation;
 use crate::proxy::LinkMode;
 use crate::restore::Restore;
-use crate::world::{DOMAINS, Endpoint, World};
+use crate::world::{DOMAINS, Endpoint, RateLimit, World};
 
 /// Faults start after this time, when all hosts are up.
 pub const FIRST_FAULT_AFTER: Duration = Duration::from_secs(3);
@@ -27,6 +27,11 @@
 pub const MAX_FAULT_MS: u64 = 2_500;
 /// How long the store keeps the entry of a replaced server, as it does after a crash.
 pub const STALE_ENTRY_TIME: Duration = Duration::from_millis(1_500);
+/// The rate limits that servers state; without one, a server gets some 100 requests a second.
+const RATE_LIMITS_PER_S: [f64; 4] = [0.5, 5.0, 20.0, 50.0];
+const RATE_LIMIT_SEED: u64 = 0x6c69_6d69_7473;
+/// How long a server is down after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(2_000);
 /// The share of a planned absence for which a server says that it drains.
 const DRAINING_SHARE: f64 = 0.7;
 
@@ -59,6 +64,8 @@
     Leave(usize, bool),
     /// A failure domain is taken out of service.
     Evacuate(usize),
+    /// A server states a rate limit, in requests per second.
+    RateLimit(usize, f64),
     /// The store is away, then returns from a copy.
     Restore(Restore),
 }
@@ -123,6 +130,44 @@
     faults
 }
 
+/// Draws rate limits of servers in different shards, which last until the fault-free end.
+pub fn draw_rate_limits(seed: u64, count: usize, length: Duration, endpoints: usize) -> Vec<Fault> {
+    // Apart from the other faults, so that these are the same with any number of limits.
+    let mut rng = SmallRng::seed_from_u64(seed ^ RATE_LIMIT_SEED);
+    let mut shards: Vec<usize> = (0..endpoints / DOMAINS.len()).collect();
+    shards.shuffle(&mut rng);
+    let draw_one = |shard: usize| {
+        let endpoint = shard * DOMAINS.len() + rng.random_range(0..DOMAINS.len());
+        let per_s = *RATE_LIMITS_PER_S.choose(&mut rng).expect("there are limits");
+        let at = FIRST_FAULT_AFTER + Duration::from_millis(rng.random_range(0..2_000));
+        let duration = (length - FAULT_FREE_END).saturating_sub(at);
+        Fault { at, duration, kind: FaultKind::RateLimit(endpoint, per_s) }
+    };
+    shards.into_iter().take(count).map(draw_one).collect()
+}
+
+/// Takes down each server that crashes for [`CRASH_DOWNTIME`]; runs until it is aborted.
+pub async fn play_crashes(world: Arc<World>) {
+    let mut known = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        for crash in world.request_log.crashes_after(known) {
+            known += 1;
+            let all = &world.endpoints;
+            let Some(at) = all.iter().position(|e| e.server().id == crash.server) else { continue };
+            let world = world.clone();
+            tokio::spawn(async move {
+                let endpoint = &world.endpoints[at];
+                let disruption = endpoint.link_disruptions.begin();
+                endpoint.proxy.set_mode(LinkMode::Refuse);
+                tokio::time::sleep(CRASH_DOWNTIME).await;
+                endpoint.proxy.set_mode(LinkMode::Whole);
+                endpoint.link_disruptions.end(disruption);
+            });
+        }
+    }
+}
+
 /// Injects a fault and removes it after its duration; returns a violation if a host does not exit
 /// after SIGTERM. `n` is the number of the fault.
 pub async fn inject(world: Arc<World>, fault: Fault, n: usize) -> io::Result<Option<Violation>> {
@@ -163,6 +208,15 @@
             tokio::time::sleep(fault.duration).await;
             world.endpoints[endpoint].server().set_mode(Mode::Answers);
         }
+        FaultKind::RateLimit(endpoint, per_s) => {
+            let server = world.endpoints[endpoint].server();
+            server.set_rate_limit(Some(per_s));
+            let from = Instant::now();
+            tokio::time::sleep(fault.duration).await;
+            server.set_rate_limit(None);
+            let limit = RateLimit { server: server.id, per_s, from, until: Instant::now() };
+            world.rate_limits.lock().expect("no holder of the lock panics").push(limit);
+        }
         FaultKind::Link(endpoint, link_mode) => {
             let endpoint = &world.endpoints[endpoint];
             let disruption = endpoint.link_disruptions.begin();
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -38,8 +38,10 @@
     let mut violations: Vec<Violation> =
         requests.iter().filter_map(|request| check_request(world, request)).collect();
     violations.extend(bounds::check(world, requests));
+    violations.extend(bounds::check_rate_limits(world));
+    violations.extend(bounds::check_crashes(world));
     let is_owed =
-        |r: &&SentRequest| r.sent_at >= recovered_by && !matches!(r.route, Route::Added(_));
+        |r: &&SentRequest| r.sent_at >= recovered_by && matches!(r.route, Route::All | Route::One);
     let after_recovery: Vec<&SentRequest> = requests.iter().filter(is_owed).collect();
     let is_served =
         |r: &&&SentRequest| matches!(&r.outcome, Outcome::Answered(a) if a.status == 200);
@@ -86,7 +88,7 @@
 }
 
 fn check_request(world: &World, request: &SentRequest) -> Option<Violation> {
-    let non_idempotent = request.route == Route::One;
+    let non_idempotent = matches!(request.route, Route::One | Route::Crashing);
     let violation = |reason| {
         let detail = format!("{}: {:?}", request.id, request.outcome);
         Some(Violation { reason, detail })
@@ -117,7 +119,7 @@
     }
     match (answer.status, request.route) {
         (200, Route::All) => check_gathered(&world.shards, &request.id, answer).and_then(violation),
-        (200, Route::One) => {
+        (200, Route::One | Route::Crashing) => {
             check_single(&world.shards, 0, &request.id, answer).and_then(violation)
         }
         (200, Route::Added(n)) => {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -62,6 +62,12 @@
     /// Number of times that the store returns from an older copy, besides the other faults
     #[bpaf(long, argument("N"), fallback(2))]
     restores: usize,
+    /// Number of servers that state a rate limit
+    #[bpaf(long, argument("N"), fallback(2))]
+    rate_limits: usize,
+    /// Number of callers that send a request which crashes servers
+    #[bpaf(long, argument("N"), fallback(1))]
+    crashing_callers: usize,
     /// Path of the daemon; by default quetzal-platform in the directory of this program
     #[bpaf(long, argument("FILE"), optional)]
     daemon: Option<PathBuf>,
@@ -109,7 +115,9 @@
     let (hosts, endpoints) = (world.hosts.len(), world.endpoints.len());
     let mut planned_faults = faults::draw(seed, options.faults, length, hosts, endpoints);
     planned_faults.extend(restore::draw(seed, options.restores, length, hosts, endpoints));
+    planned_faults.extend(faults::draw_rate_limits(seed, options.rate_limits, length, endpoints));
     println!("seed {seed}: {}", summary(&planned_faults));
+    let crashes = tokio::spawn(faults::play_crashes(world.clone()));
     let injections: Vec<_> = planned_faults
         .into_iter()
         .enumerate()
@@ -127,15 +135,22 @@
         let addr = (host.ip, CALLER_PORT).into();
         tokio::spawn(callers::probe(world.clone(), addr, rng, requests.clone(), stop_at))
     };
+    let crashing_caller = |n: usize| {
+        let rng = SmallRng::seed_from_u64(seed ^ !(n as u64) << 32);
+        let stop_at = stop_at - faults::FAULT_FREE_END;
+        tokio::spawn(callers::send_crashing(world.clone(), n, rng, requests.clone(), stop_at))
+    };
+    let crashing: Vec<_> = (0..options.crashing_callers).map(crashing_caller).collect();
     let callers: Vec<_> =
         (0..options.callers).map(caller).chain(world.hosts.iter().enumerate().map(probe)).collect();
     let mut violations = Vec::new();
     for injection in injections {
         violations.extend(injection.await.map_err(std::io::Error::other)??);
     }
-    for caller in callers {
+    for caller in callers.into_iter().chain(crashing) {
         caller.await.map_err(std::io::Error::other)?;
     }
+    crashes.abort();
     let requests = requests.lock().expect("no holder of the lock panics").clone();
     let recovered_by = stop_at - faults::FAULT_FREE_END + RECOVERY_TIME;
     violations.extend(invariants::check_invariants(&world, &requests, recovered_by));
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -12,6 +12,8 @@
 const ADDED_DELAY: Duration = Duration::from_millis(40);
 /// How often to check whether a held-back chunk may be forwarded.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// How long open connections outlast the refusal of new ones.
+const REFUSE_FIRST: Duration = Duration::from_millis(40);
 /// The maximum size of a chunk; all replies of the stand-ins fit.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -28,6 +30,8 @@
     OneWay,
     /// Connections are closed.
     Reset,
+    /// Connections are refused, then those that are open are closed, as when a process ends.
+    Refuse,
 }
 
 /// A proxy in front of one address; clones share its state.
@@ -44,15 +48,35 @@
         let listener = TcpListener::bind((ip, 0)).await?;
         let addr = listener.local_addr()?;
         let proxy = Self { addr, state: Arc::new(Mutex::new((LinkMode::Whole, target))) };
-        let acceptor = proxy.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(acceptor.clone().forward(stream));
-            }
-        });
+        tokio::spawn(proxy.clone().accept(listener));
         Ok(proxy)
     }
 
+    async fn accept(self, mut listener: TcpListener) {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    tokio::spawn(self.clone().forward(stream));
+                }
+                () = self.wait_while(|mode| mode != LinkMode::Refuse) => {
+                    drop(listener);
+                    self.wait_while(|mode| mode == LinkMode::Refuse).await;
+                    match TcpListener::bind(self.addr).await {
+                        Ok(bound) => listener = bound,
+                        Err(error) => panic!("{} can't be bound again: {error}", self.addr),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn wait_while(&self, holds: impl Fn(LinkMode) -> bool) {
+        while holds(self.state().0) {
+            tokio::time::sleep(RECHECK_INTERVAL).await;
+        }
+    }
+
     /// Sets how the proxy handles traffic, also on open connections.
     pub fn set_mode(&self, mode: LinkMode) {
         self.state.lock().expect("no holder of the lock panics").0 = mode;
@@ -101,7 +125,7 @@
                     LinkMode::Silent | LinkMode::OneWay => {
                         tokio::time::sleep(RECHECK_INTERVAL).await
                     }
-                    LinkMode::Reset => return,
+                    LinkMode::Reset | LinkMode::Refuse => return,
                 }
             }
             if to.write_all(&buffer[..length]).await.is_err() {
@@ -111,8 +135,9 @@
     }
 
     async fn wait_for_reset(&self) {
-        while self.state().0 != LinkMode::Reset {
-            tokio::time::sleep(RECHECK_INTERVAL).await;
+        self.wait_while(|mode| !matches!(mode, LinkMode::Reset | LinkMode::Refuse)).await;
+        if self.state().0 == LinkMode::Refuse {
+            tokio::time::sleep(REFUSE_FIRST).await;
         }
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -163,6 +163,15 @@
     }
 }
 
+/// A rate limit that a server stated for some time.
+#[derive(Debug)]
+pub struct RateLimit {
+    pub server: String,
+    pub per_s: f64,
+    pub from: Instant,
+    pub until: Instant,
+}
+
 /// The hosts, the backend servers and the store of one run.
 #[derive(Debug)]
 pub struct World {
@@ -173,6 +182,8 @@
     /// The periods in which the store was away or disrupted.
     pub store_disruptions: Periods,
     pub request_log: RequestLog,
+    /// The rate limits that have ended.
+    pub rate_limits: Mutex<Vec<RateLimit>>,
     pub shards: Vec<String>,
     pub standin_ip: Ipv4Addr,
 }
@@ -265,6 +276,7 @@
             store_proxy,
             store_disruptions: Periods::default(),
             request_log,
+            rate_limits: Mutex::default(),
             shards,
             standin_ip,
         }))
