Do not blame popular requests for crashes beside them

Cause: an answer cleared a suspect, but nothing was remembered of answers before a crash, and an answer that lacks a shard cleared nothing. With a limited server, no answer was complete.

Change: a request that was answered is not blamed for crashes within ten seconds; an answer of all servers that got the request counts, even if a shard got none. A host that knows an answer tells the hosts that blame the request. The memory holds 4,096 requests.

--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -5,7 +5,7 @@
 //! answered since. A pure state machine: time is an argument. See `docs/PLATFORM.md`, section
 //! "Requests that crash servers".
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,11 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
 /// How long a suspect is remembered that is not quarantined.
 const SUSPECT_MEMORY: Duration = Duration::from_secs(60);
+/// A request that was answered is not blamed for crashes within this time, nor does an answer that
+/// comes later than a crash leave it a suspect. Popular requests are beside many crashes.
+const PRESUMED_INNOCENT: Duration = Duration::from_secs(10);
+/// The number of answered requests that a host remembers; the newest are kept.
+const MAX_ANSWERED: usize = 4_096;
 /// A suspect runs alone for at most this long; then its run counts as lost.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 /// When a caller should retry whose request waits for another run of it to end.
@@ -104,15 +109,11 @@
     }
 
     fn add(&mut self, crash: Crash) -> bool {
-        let outdated = self.answered_at.is_some_and(|answered| crash.at <= answered);
         if let Some(known) = self.crashes.iter_mut().find(|known| known.run == crash.run) {
             // Hosts that saw the same crash know of different requests beside it.
             known.alone &= crash.alone;
             return false;
         }
-        if outdated {
-            return false;
-        }
         if self.crashes.len() == MAX_CRASHES {
             self.crashes.remove(0);
         }
@@ -127,6 +128,11 @@
     }
 }
 
+/// Tells whether a request that was answered at `answered` is not to blame for a crash.
+fn is_innocent(answered: Monotonic, crashed: Monotonic) -> bool {
+    crashed < answered + PRESUMED_INNOCENT
+}
+
 /// A change of what a host knows about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectChange {
@@ -149,6 +155,9 @@
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
     running: HashMap<ServerId, SmallVec<[Running; 4]>>,
+    /// When requests were answered last, and their order.
+    answered: HashMap<Fingerprint, Monotonic>,
+    answered_order: VecDeque<(Monotonic, Fingerprint)>,
 }
 
 impl Quarantine {
@@ -246,6 +255,7 @@
         now: Monotonic,
         fingerprint: Fingerprint,
     ) -> Option<SuspectChange> {
+        self.remember_answered(now, fingerprint);
         let suspect = self.suspects.get_mut(&fingerprint)?;
         suspect.answered_at = Some(now);
         suspect.trial_at = None;
@@ -291,7 +301,7 @@
             if suspect.answered_at.is_none_or(|known| known < answered) {
                 suspect.answered_at = Some(answered);
                 let had_crashes = !suspect.crashes.is_empty();
-                suspect.crashes.retain(|crash| crash.at > answered);
+                suspect.crashes.retain(|crash| !is_innocent(answered, crash.at));
                 if had_crashes && suspect.crashes.is_empty() {
                     change = Some(SuspectChange::Cleared);
                 }
@@ -314,6 +324,20 @@
         self.suspects.values().filter(in_force).count()
     }
 
+    fn remember_answered(&mut self, now: Monotonic, fingerprint: Fingerprint) {
+        self.answered.insert(fingerprint, now);
+        self.answered_order.push_back((now, fingerprint));
+        let is_outdated = |(at, _): &(Monotonic, Fingerprint)| *at + PRESUMED_INNOCENT < now;
+        while self.answered_order.len() > MAX_ANSWERED
+            || self.answered_order.front().is_some_and(is_outdated)
+        {
+            let Some((at, oldest)) = self.answered_order.pop_front() else { break };
+            if self.answered.get(&oldest) == Some(&at) {
+                self.answered.remove(&oldest);
+            }
+        }
+    }
+
     /// Evicts what is no longer of use.
     pub fn evict(&mut self, now: Monotonic) {
         self.suspects.retain(|_, suspect| now < suspect.forget_by());
@@ -330,7 +354,14 @@
             let oldest = oldest.map(|(fingerprint, _)| *fingerprint)?;
             self.suspects.remove(&oldest);
         }
+        let answered = self.answered.get(&fingerprint).copied();
         let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.answered_at = suspect.answered_at.max(answered);
+        if suspect.answered_at.is_some_and(|answered| is_innocent(answered, crash.at)) {
+            // The hosts that blame the request for the crash learn of the answer.
+            suspect.changed_at = now;
+            return None;
+        }
         if !suspect.add(crash) {
             return None;
         }
--- a/src/process/quarantine/tests.rs
+++ b/src/process/quarantine/tests.rs
@@ -77,7 +77,7 @@
         for (n, requests) in (0..).zip(case.crashes) {
             crash(&mut host, at(n * 100), n, requests);
             if n == 0 && case.other_answered {
-                host.on_answered(at(50), OTHER);
+                assert_eq!(host.on_answered(at(50), OTHER), Some(SuspectChange::Cleared));
             }
         }
         let now = at(1_000);
@@ -181,3 +181,39 @@
     assert_eq!(host.reports(at(1), false).len(), 1);
     assert!(host.reports(at(0) + ANNOUNCE_TIME, false).is_empty());
 }
+
+/// Guards against popular requests that are quarantined because they are beside many crashes.
+#[test]
+fn popular_request_is_not_blamed() {
+    let mut hosts = [Quarantine::default(), Quarantine::default()];
+    for n in 0..20_u64 {
+        let now = at(n * 1_000);
+        // Only the second host gets answers.
+        hosts[1].on_answered(now, OTHER);
+        crash(&mut hosts[0], now + Duration::from_millis(500), n, &[OTHER]);
+        for (from, to) in [(0, 1), (1, 0)] {
+            for report in hosts[from].reports(now + Duration::from_millis(510), false) {
+                hosts[to].on_report(now + Duration::from_millis(512), &report);
+            }
+        }
+        for host in &hosts {
+            assert!(host.check(now + Duration::from_millis(600), OTHER).is_ok(), "crash {n}");
+        }
+    }
+    let late = at(19_000) + super::PRESUMED_INNOCENT;
+    crash(&mut hosts[0], late, 100, &[OTHER]);
+    crash(&mut hosts[0], late, 101, &[OTHER]);
+    assert!(hosts[0].is_quarantined(late, OTHER), "its answers were long ago");
+}
+
+#[test]
+fn memory_of_answered_requests_is_bounded() {
+    let mut host = Quarantine::default();
+    for request in 0..3 * super::MAX_ANSWERED as u64 {
+        host.on_answered(START, request);
+    }
+    assert_eq!(host.answered.len(), super::MAX_ANSWERED);
+    host.on_answered(START + super::PRESUMED_INNOCENT * 2, 1);
+    assert_eq!(host.answered.len(), 1);
+    assert_eq!(host.answered_order.len(), 1);
+}
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -524,7 +524,9 @@
         self.log(missing);
         self.tier.metrics.missing(&self.job.route.id, missing as u64);
         self.tier.metrics.attempts("extra", u64::from(self.extra));
-        if missing == 0 {
+        let all_sent_answered =
+            self.runs.iter().all(|run| run.is_answered() || !run.may_have_run());
+        if covered > 0 && all_sent_answered {
             self.tier.on_answered(&SmolStr::new_static("all shards"), self.job.fingerprint);
         }
         if covered >= needed {
