Give low rate limits to the hosts that use them

Cause: where a limit is too low to be shared by all hosts, those that get a share were chosen by hash alone.

Change: hosts with less than half of the mean demand come last.

Result: a simulation of four hosts, two of them busy, uses 14 to 24 of the 20 requests that the limit allows in 40 s and notices its end within 8 s, for each pair.

--- a/src/process/servers/rate_limit.rs
+++ b/src/process/servers/rate_limit.rs
@@ -140,18 +140,21 @@
             let others: f64 = peers.map(|peer| peer.per_s).sum();
             return limit * own / (own + others);
         }
-        // Hosts rank by a hash alone, since demand changes all the time and with it the ranking.
-        let rank = |host: Ipv4Addr| {
+        // Hosts with little demand come last, as they would leave their share unused. The others rank
+        // by a hash, since demand changes all the time.
+        let all: f64 = peers.clone().map(|peer| peer.per_s).sum::<f64>() + own;
+        let least = all / (2.0 * (peers.clone().count() + 1) as f64);
+        let rank = |host: Ipv4Addr, demand: f64| {
             let mut key = host.octets().to_vec();
             key.extend_from_slice(server.as_bytes());
-            (stable_hash(RANKING_SEED, &key), host)
+            ((demand >= least, stable_hash(RANKING_SEED, &key), host), demand)
         };
-        let mut ranked: Vec<((u64, Ipv4Addr), f64)> =
-            peers.map(|peer| (rank(peer.host), peer.per_s)).chain([(rank(me), own)]).collect();
+        let mut ranked: Vec<((bool, u64, Ipv4Addr), f64)> =
+            peers.map(|peer| rank(peer.host, peer.per_s)).chain([rank(me, own)]).collect();
         ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         ranked.truncate(max_sharers as usize);
         let total: f64 = ranked.iter().map(|(_, demand)| demand).sum();
-        if ranked.iter().any(|((_, host), _)| *host == me) { limit * own / total } else { 0.0 }
+        if ranked.iter().any(|((.., host), _)| *host == me) { limit * own / total } else { 0.0 }
     }
 
     fn active_peers(&self, now: Monotonic) -> impl Iterator<Item = &PeerDemand> + Clone {
--- a/src/process/servers/rate_limit/tests.rs
+++ b/src/process/servers/rate_limit/tests.rs
@@ -309,3 +309,20 @@
     assert_eq!(limits.in_force(), 0);
     assert!(limits.try_take(at(61_000), &server), "the server's next reply tells its limit again");
 }
+
+/// Guards against low limits that are left to hosts which hardly send to the server.
+#[test]
+fn low_limit_goes_to_hosts_with_demand() {
+    for busy in 0..4_usize {
+        let demand = |n: usize| if n == busy || n == (busy + 1) % 4 { 50.0 } else { 0.3 };
+        let mut fleet = Fleet::new(4);
+        fleet.run(Duration::from_secs(20), Some(0.5), demand);
+        let from = fleet.now;
+        fleet.run(Duration::from_secs(40), Some(0.5), demand);
+        let sent = fleet.sent_since(from);
+        assert!((14..=24).contains(&sent), "{busy}: {sent} requests in 40 s");
+        let from = fleet.now;
+        fleet.run(Duration::from_secs(8), None, demand);
+        assert!(fleet.sent_since(from) > 20, "{busy}: the end of the limit was not noticed");
+    }
+}
