Ask another host for facts, or the platform, when one does not answer

Callers saw: a change that the platform had acknowledged was not in force at a host, for as long as another host could not answer it.

Cause: a host that lacks facts always asked the one best host for them, by its domain and revision. If that host gets nothing from here, or its answers are lost (a path cut in one direction, a connection that waits for a retransmission after a cut), heartbeats that arrive through others name it as the best again and again. Nor did the host read the platform itself, since it saw a reader. In the other direction, a reader always pushed to the first host of each other domain, which told nobody.

A reader pushes to a random host of each other domain that answers, which passes the facts on to its domain (a flag after the frame, which the build before ignores).

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -84,6 +84,10 @@
     /// [`encode`] appends it to the frame.
     #[serde(skip)]
     pub extension: Option<FactsExtension>,
+    /// Whether the receiver passes the facts on to the hosts of its failure domain. [`encode`]
+    /// appends it to the extension.
+    #[serde(skip)]
+    pub pass_on: bool,
 }
 
 /// The part of [`Facts`] that builds without epochs ignore.
@@ -212,8 +216,9 @@
     let bytes = postcard::to_stdvec(frame);
     let extended = bytes.and_then(|bytes| match frame {
         Frame::Pull(Known { epochs: Some(epochs), .. }) => postcard::to_extend(epochs, bytes),
-        Frame::Facts(Facts { extension: Some(extension), .. }) => {
-            postcard::to_extend(extension, bytes)
+        Frame::Facts(Facts { extension: Some(extension), pass_on, .. }) => {
+            let bytes = postcard::to_extend(extension, bytes)?;
+            if *pass_on { postcard::to_extend(pass_on, bytes) } else { Ok(bytes) }
         }
         Frame::Parts(RelayParts { rate_limited, .. }) if !rate_limited.is_empty() => {
             postcard::to_extend(rate_limited, bytes)
@@ -230,11 +235,15 @@
     let (mut frame, rest) = postcard::take_from_bytes(bytes).ok()?;
     match &mut frame {
         Frame::Pull(known) => known.epochs = decode_extension(rest).ok()?,
-        Frame::Facts(facts) => facts.extension = decode_extension(rest).ok()?,
+        Frame::Facts(facts) if !rest.is_empty() => {
+            let (extension, rest) = postcard::take_from_bytes(rest).ok()?;
+            facts.extension = Some(extension);
+            facts.pass_on = decode_extension(rest).ok()?.unwrap_or_default();
+        }
         Frame::Parts(parts) => {
             parts.rate_limited = decode_extension(rest).ok()?.unwrap_or_default()
         }
-        Frame::Call(_) | Frame::Cancel(_) => {}
+        Frame::Call(_) | Frame::Cancel(_) | Frame::Facts(_) => {}
     }
     Some(frame)
 }
--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -98,6 +98,7 @@
             plan: plan.clone(),
             returned_ms_ago: Some(700),
             extension,
+            pass_on: false,
         }),
         old: OldFrame::Facts(OldFacts {
             after: 40,
@@ -165,6 +166,19 @@
     }
 }
 
+// The build before reads the extension, and ignores what follows it.
+#[test]
+fn facts_to_be_passed_on_round_trip_and_are_readable_by_the_build_before() {
+    for case in [facts(Some(extension()), None), facts(Some(extension()), Some(plan()))] {
+        let Frame::Facts(facts) = case.frame else { panic!("these are facts") };
+        let passed_on = Frame::Facts(Facts { pass_on: true, ..facts.clone() });
+        let bytes = encode(&passed_on);
+        assert_eq!(decode(&bytes), Some(passed_on), "{}", case.name);
+        let (_, rest) = postcard::take_from_bytes::<OldFrame>(&bytes).expect("it is readable");
+        assert_eq!(postcard::from_bytes(rest), Ok(extension()), "{}", case.name);
+    }
+}
+
 // Hosts that are not upgraded yet would get no facts from upgraded ones.
 #[test]
 fn old_build_does_not_reject_or_misread_frames_with_epochs() {
--- a/src/connection/peer_links.rs
+++ b/src/connection/peer_links.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
@@ -22,6 +22,8 @@
 
 /// Sends the parts of a call to the waiting caller; it is dropped when the connection is lost.
 type PartsSender = mpsc::UnboundedSender<RelayParts>;
+/// Passes on facts that a host sent on a connection to it.
+type FactsSender = mpsc::UnboundedSender<(Ipv4Addr, Facts)>;
 
 /// A connection to one host.
 #[derive(Debug)]
@@ -32,22 +34,55 @@
     closed: CancellationToken,
 }
 
+/// What a host does with its connections, as a simulated network sees it.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A frame is sent to a host.
+    Sent(Ipv4Addr, Frame),
+    /// The connection to a host is closed.
+    Closed(Ipv4Addr),
+}
+
 /// The connections of a host to all other hosts.
 #[derive(Debug)]
 pub struct PeerLinks {
     links: Mutex<HashMap<Ipv4Addr, Arc<Link>>>,
     next_id: AtomicU32,
-    facts: mpsc::UnboundedSender<Facts>,
+    facts: FactsSender,
+    simulated: OnceLock<mpsc::UnboundedSender<LinkEvent>>,
 }
 
 impl PeerLinks {
     /// Creates a pool without connections; facts received from other hosts are sent to `facts`.
-    pub fn new(facts: mpsc::UnboundedSender<Facts>) -> Self {
-        Self { links: Mutex::default(), next_id: AtomicU32::new(0), facts }
+    pub fn new(facts: FactsSender) -> Self {
+        Self {
+            links: Mutex::default(),
+            next_id: AtomicU32::new(0),
+            facts,
+            simulated: OnceLock::new(),
+        }
+    }
+
+    /// Passes all frames without an answer to a simulated network instead of opening connections.
+    pub fn simulate(&self) -> mpsc::UnboundedReceiver<LinkEvent> {
+        let (sender, events) = mpsc::unbounded_channel();
+        // Only the first simulated network gets the frames.
+        let _ = self.simulated.set(sender);
+        events
+    }
+
+    /// Handles facts that a host sent, as if they had arrived on a connection.
+    pub fn receive(&self, from: Ipv4Addr, facts: Facts) {
+        // The receiver lives as long as the host.
+        let _ = self.facts.send((from, facts));
     }
 
     /// Sends a frame that expects no parts; drops it if the host's queue is full.
     pub fn send(&self, host: Ipv4Addr, port: u16, frame: Frame) {
+        if let Some(network) = self.simulated.get() {
+            let _ = network.send(LinkEvent::Sent(host, frame));
+            return;
+        }
         if self.link(host, port).frames.try_send(frame).is_err() {
             tracing::debug!(%host, "dropped a frame: the host reads too slowly");
         }
@@ -61,6 +96,9 @@
 
     /// Closes the connection to a host that no longer answers; the next call opens a new one.
     pub fn close(&self, host: Ipv4Addr) {
+        if let Some(network) = self.simulated.get() {
+            let _ = network.send(LinkEvent::Closed(host));
+        }
         let link = self.links.lock().expect("no holder of the lock panics").remove(&host);
         if let Some(link) = link {
             link.closed.cancel();
@@ -104,7 +142,7 @@
     link: Arc<Link>,
     addr: SocketAddrV4,
     outgoing: mpsc::Receiver<Frame>,
-    facts: mpsc::UnboundedSender<Facts>,
+    facts: FactsSender,
 ) {
     let closed = link.closed.clone();
     tokio::select! {
@@ -125,7 +163,7 @@
     link: &Link,
     addr: SocketAddrV4,
     mut outgoing: mpsc::Receiver<Frame>,
-    facts: &mpsc::UnboundedSender<Facts>,
+    facts: &FactsSender,
 ) -> std::io::Result<()> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
@@ -142,7 +180,7 @@
                 Some(Frame::Parts(parts)) => dispatch_parts(link, parts),
                 Some(Frame::Facts(received)) => {
                     // The receiver lives as long as the host.
-                    let _ = facts.send(received);
+                    let _ = facts.send((*addr.ip(), received));
                 }
                 Some(Frame::Call(_) | Frame::Cancel(_) | Frame::Pull(_)) | None => {
                     return Err(std::io::Error::other("received an invalid or unexpected frame"));
--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -12,6 +12,7 @@
 
 use rand::seq::IteratorRandom;
 
+use super::pull_schedule::{Candidate, PullSchedule, Reached};
 use crate::clock::millis;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::peer_frame::{Facts, FactsExtension, Frame, Known};
@@ -33,16 +34,23 @@
     pull_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some(facts) = received.recv() => on_facts(&tier, facts),
+            Some((host, facts)) = received.recv() => on_pulled(&tier, host, facts),
             _ = pull_timer.tick() => pull(&tier),
             () = tier.stopped.cancelled() => return,
         }
     }
 }
 
+/// Applies facts that a host sent when it was asked for them.
+fn on_pulled<B: BackendProtocol>(tier: &Tier<B>, host: Ipv4Addr, facts: Facts) {
+    tier.pulls().on_answer(host);
+    tier.on_host_answered(host);
+    on_facts(tier, facts);
+}
+
 /// Applies facts received from another host.
 pub fn on_facts<B: BackendProtocol>(tier: &Tier<B>, facts: Facts) {
-    let Facts { after, changes, up_to, plan, returned_ms_ago, extension } = facts;
+    let Facts { after, changes, up_to, plan, returned_ms_ago, extension, pass_on: _ } = facts;
     let plan_series = extension.as_ref().map_or(0, |extension| extension.epochs.plan_series);
     // Changes without an epoch can't be ordered. Hosts of older builds send them.
     if let Some(extension) = extension {
@@ -152,52 +160,103 @@
                 knows_earlier: registry.knows_earlier_epoch(),
                 withheld: registry.withheld(now),
             }),
+            pass_on: false,
         }
     })
 }
 
+/// Applies facts that a host sent unasked, and passes them on if it asks for that.
+pub fn on_pushed<B: BackendProtocol>(tier: &Tier<B>, facts: Facts) {
+    let before = known_versions(tier);
+    let pass_on = facts.pass_on;
+    on_facts(tier, facts);
+    if pass_on && known_versions(tier) != before {
+        send_newer(tier, before, near_hosts(tier).map(|host| (host, false)).collect());
+    }
+}
+
 /// Sends facts newer than `before` to all hosts of the own failure domain and one host of each
-/// other domain.
+/// other domain, which passes them on there.
 pub fn push<B: BackendProtocol>(tier: &Tier<B>, before: Known) {
-    let facts = facts_after(tier, before);
-    let withholds = facts.extension.as_ref().is_some_and(|e| e.whole || !e.withheld.is_empty());
-    if facts.changes.is_empty() && facts.plan.is_none() && !withholds {
-        return;
-    }
     let fleet = tier.fleet.load();
     let own = tier.domain_index(&tier.settings.domain);
-    let near = fleet.up.iter().filter(|h| h.domain == own).map(|h| h.ip);
-    let mut receivers: Vec<Ipv4Addr> = near.collect();
+    let mut receivers: Vec<(Ipv4Addr, bool)> = near_hosts(tier).map(|h| (h, false)).collect();
     let mut domains: Vec<_> = fleet.up.iter().map(|h| h.domain).filter(|d| *d != own).collect();
     domains.sort_unstable();
     domains.dedup();
+    let now = tier.now();
+    let suspicion = tier.suspicion();
     for domain in domains {
-        let one = fleet.up.iter().find(|h| h.domain == domain && h.phase != Phase::Leaving);
-        receivers.extend(one.map(|h| h.ip));
+        let fit = |h: &&Heartbeat| h.domain == domain && h.phase != Phase::Leaving;
+        let answers = |h: &&Heartbeat| fit(h) && !suspicion.is_suspect(now, &h.ip);
+        let mut rng = rand::rng();
+        let one = fleet.up.iter().filter(answers).choose(&mut rng);
+        let one = one.or_else(|| fleet.up.iter().filter(fit).choose(&mut rng));
+        receivers.extend(one.map(|h| (h.ip, true)));
+    }
+    drop(suspicion);
+    send_newer(tier, before, receivers);
+}
+
+fn near_hosts<B: BackendProtocol>(tier: &Tier<B>) -> impl Iterator<Item = Ipv4Addr> {
+    let own = tier.domain_index(&tier.settings.domain);
+    let fleet = tier.fleet.load_full();
+    let near: Vec<_> = fleet.up.iter().filter(|h| h.domain == own).map(|h| h.ip).collect();
+    near.into_iter()
+}
+
+/// Sends facts newer than `before` to hosts, and whether each must pass them on.
+fn send_newer<B: BackendProtocol>(tier: &Tier<B>, before: Known, receivers: Vec<(Ipv4Addr, bool)>) {
+    let facts = facts_after(tier, before);
+    let withholds = facts.extension.as_ref().is_some_and(|e| e.whole || !e.withheld.is_empty());
+    if facts.changes.is_empty() && facts.plan.is_none() && !withholds {
+        return;
     }
-    for host in receivers {
-        tier.peers.send(host, tier.settings.peer_port, Frame::Facts(facts.clone()));
+    for (host, pass_on) in receivers {
+        let facts = Facts { pass_on, ..facts.clone() };
+        tier.peers.send(host, tier.settings.peer_port, Frame::Facts(facts));
     }
 }
 
-/// Pulls missing facts from a host that has newer ones, preferably in the own failure domain.
+/// Pulls missing facts from a host that has newer ones, and from another one if it does not answer.
 fn pull<B: BackendProtocol>(tier: &Tier<B>) {
-    let known = known_versions(tier);
-    let own = tier.domain_index(&tier.settings.domain);
-    let fleet = tier.fleet.load();
     let now = tier.now();
+    let known = known_versions(tier);
     let (position, asks) =
         tier.registry(|registry| (registry.position(), registry.asks_peers(now)));
-    let knows_more =
-        |h: &&Heartbeat| h.position() > Some(position) || h.plan_order() > known.plan_order();
+    let own = Reached { position, plan: known.plan_order() };
+    let overdue = tier.pulls().take_overdue(now);
+    if let Some(pull) = overdue {
+        tier.on_host_overdue(pull.host, pull.sent_at);
+    }
+    let own_domain = tier.domain_index(&tier.settings.domain);
+    let fleet = tier.fleet.load();
+    let candidates: Vec<Candidate> = {
+        let suspicion = tier.suspicion();
+        let candidate = |h: &Heartbeat| Candidate {
+            host: h.ip,
+            // The changes of a host that doesn't announce epochs can't be used.
+            reached: Reached { position: h.position().unwrap_or_default(), plan: h.plan_order() },
+            near: h.domain == own_domain,
+            suspect: suspicion.is_suspect(now, &h.ip),
+        };
+        fleet.up.iter().map(candidate).collect()
+    };
+    let mut pulls = tier.pulls();
+    pulls.update(now, own, &candidates);
+    if pulls.is_pending() {
+        return;
+    }
     // The next host asked may know an earlier epoch if this one does not.
     let may_withhold =
         |h: &&Heartbeat| asks && h.position().is_some_and(|at| at.epoch >= position.epoch);
-    let rank = |h: &&Heartbeat| (h.domain == own, h.position(), h.plan_order());
-    let best = fleet.up.iter().filter(knows_more).max_by_key(rank);
-    let best = best.or_else(|| fleet.up.iter().filter(may_withhold).choose(&mut rand::rng()));
-    if let Some(host) = best {
-        tier.peers.send(host.ip, tier.settings.peer_port, Frame::Pull(known));
+    let chosen = PullSchedule::choose(own, &candidates).or_else(|| {
+        let host = fleet.up.iter().filter(may_withhold).choose(&mut rand::rng());
+        host.map(|host| host.ip)
+    });
+    if let Some(host) = chosen {
+        pulls.on_sent(now, host);
+        tier.peers.send(host, tier.settings.peer_port, Frame::Pull(known));
     }
 }
 
--- a/src/process/configuration/mod.rs
+++ b/src/process/configuration/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod config_watch;
 pub mod fact_exchange;
 pub mod lost_plan;
+pub mod pull_schedule;
 pub mod reader;
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -126,8 +126,11 @@
 ///
 /// A host whose reads fail says so in its heartbeat, so that the next host takes over. When no host
 /// of a domain can read, all of them try, less often the more there are, and receive facts from
-/// hosts of other domains meanwhile.
+/// hosts of other domains meanwhile. A host that lacks facts which no host sends it reads as well.
 fn is_reader<B: BackendProtocol>(tier: &Tier<B>) -> bool {
+    if tier.pulls().must_read(tier.now()) {
+        return true;
+    }
     let own = tier.domain_index(&tier.settings.domain);
     let i_read = tier.members().own_heartbeat_mut().reads;
     let fleet = tier.fleet.load();
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -59,20 +59,30 @@
         tracing::warn!(%from, length = bytes.len(), "discarded a datagram without valid gossip");
         return;
     };
-    let now = tier.now();
+    if let Some((to, gossip)) = on_gossip(tier, gossip) {
+        send(tier, socket, to, &gossip).await;
+    }
+}
+
+/// Handles a gossip message; returns the answer to it, if it needs one.
+pub fn on_gossip<B: BackendProtocol>(tier: &Tier<B>, gossip: Gossip) -> Option<(Ipv4Addr, Gossip)> {
     if let Some(sender) = gossip.heartbeats.first() {
         tier.on_limit_reports(sender.ip, &gossip.limit_reports);
         tier.on_suspect_reports(sender.ip, &gossip.suspect_reports);
     }
-    let answer = tier.members().on_gossip(now, gossip);
-    if let Some((to, gossip)) = answer {
+    tier.members().on_gossip(tier.now(), gossip)
+}
+
+async fn tick<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
+    for (to, gossip) in due_messages(tier) {
         send(tier, socket, to, &gossip).await;
     }
 }
 
-async fn tick<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
+/// Updates the host's view of the fleet and returns the messages that are due.
+pub fn due_messages<B: BackendProtocol>(tier: &Tier<B>) -> Vec<(Ipv4Addr, Gossip)> {
     let now = tier.now();
-    let (messages, view) = {
+    let (mut messages, view) = {
         let mut members = tier.members();
         let me = members.own_heartbeat_mut();
         me.phase = tier.phase();
@@ -87,10 +97,8 @@
     let is_new = |host: &&Heartbeat| before.up.iter().all(|known| known.ip != host.ip);
     let new: Vec<Ipv4Addr> = view.up.iter().filter(is_new).map(|host| host.ip).collect();
     let suspects = tier.quarantine().reports(now, true);
-    send_suspects(tier, socket, new, suspects).await;
-    for (to, gossip) in messages {
-        send(tier, socket, to, &gossip).await;
-    }
+    messages.extend(suspect_messages(tier, &new, &suspects));
+    messages
 }
 
 /// Sends this host's use of limited servers to the hosts that share their limits.
@@ -106,22 +114,21 @@
 /// Sends what changed lately about requests that may have crashed servers to all hosts.
 async fn report_suspects<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
     let reports = tier.quarantine().reports(tier.now(), false);
-    let hosts = tier.fleet.load().up.iter().map(|host| host.ip).collect();
-    send_suspects(tier, socket, hosts, reports).await;
+    let hosts: Vec<Ipv4Addr> = tier.fleet.load().up.iter().map(|host| host.ip).collect();
+    for (to, gossip) in suspect_messages(tier, &hosts, &reports) {
+        send(tier, socket, to, &gossip).await;
+    }
 }
 
-async fn send_suspects<B: BackendProtocol>(
+fn suspect_messages<B: BackendProtocol>(
     tier: &Tier<B>,
-    socket: &UdpSocket,
-    hosts: Vec<Ipv4Addr>,
-    reports: Vec<SuspectReport>,
-) {
-    for reports in reports.chunks(MAX_REPORTS) {
-        let gossip = tier.members().suspect_message(reports.to_vec());
-        for host in &hosts {
-            send(tier, socket, *host, &gossip).await;
-        }
-    }
+    hosts: &[Ipv4Addr],
+    reports: &[SuspectReport],
+) -> Vec<(Ipv4Addr, Gossip)> {
+    let message = |reports: &[SuspectReport]| tier.members().suspect_message(reports.to_vec());
+    let messages = reports.chunks(MAX_REPORTS).map(message);
+    let to_all = |gossip: Gossip| hosts.iter().map(move |host| (*host, gossip.clone()));
+    messages.flat_map(to_all).collect()
 }
 
 fn log_changes<B: BackendProtocol>(tier: &Tier<B>, view: &super::members::FleetView) {
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -15,6 +15,7 @@
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
 use super::budgets::retry_schedule::RetrySchedule;
 use super::budgets::usual_timeout::UsualTimeouts;
+use super::configuration::pull_schedule::PullSchedule;
 use super::membership::domain_paths::DomainPaths;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::metrics::Metrics;
@@ -101,7 +102,7 @@
     /// Notified when other hosts must learn of a request that may have crashed a server.
     pub(crate) suspects_changed: Notify,
     pub(crate) metrics: Metrics,
-    received_facts: Mutex<Option<mpsc::UnboundedReceiver<Facts>>>,
+    received_facts: Mutex<Option<mpsc::UnboundedReceiver<(Ipv4Addr, Facts)>>>,
     domains: HashMap<DomainId, DomainIndex>,
     registry: Mutex<Registry>,
     members: Mutex<Members>,
@@ -112,6 +113,7 @@
     quarantine: Mutex<Quarantine>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
     paths: Mutex<DomainPaths>,
+    pulls: Mutex<PullSchedule>,
     extra: Mutex<ExtraAttemptBudget>,
     split: Mutex<WeightedRoundRobin>,
     usual_timeouts: Mutex<UsualTimeouts>,
@@ -163,6 +165,7 @@
             quarantine: Mutex::default(),
             suspicion: Mutex::default(),
             paths: Mutex::default(),
+            pulls: Mutex::default(),
             split: Mutex::default(),
             usual_timeouts: Mutex::default(),
             running: AtomicU32::new(0),
@@ -539,10 +542,15 @@
     }
 
     /// Takes the receiver of facts that other hosts send; returns `None` after the first call.
-    pub(crate) fn take_received_facts(&self) -> Option<mpsc::UnboundedReceiver<Facts>> {
+    pub(crate) fn take_received_facts(&self) -> Option<mpsc::UnboundedReceiver<(Ipv4Addr, Facts)>> {
         self.received_facts.lock().expect("no holder of the lock panics").take()
     }
 
+    /// Locks and returns the facts that this host lacks and has asked other hosts for.
+    pub(crate) fn pulls(&self) -> MutexGuard<'_, PullSchedule> {
+        self.pulls.lock().expect("no holder of the lock panics")
+    }
+
     /// Locks and returns the failure detector, which knows the hosts that have not answered lately.
     pub fn suspicion(&self) -> MutexGuard<'_, Suspicion<Ipv4Addr>> {
         self.suspicion.lock().expect("no holder of the lock panics")
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -88,7 +88,7 @@
                     // The facts are dropped if the host's queue is full; the host pulls again.
                     let _ = frames.try_send(Frame::Facts(facts));
                 }
-                Some(Frame::Facts(facts)) => fact_exchange::on_facts(&tier, facts),
+                Some(Frame::Facts(facts)) => fact_exchange::on_pushed(&tier, facts),
                 Some(Frame::Parts(_)) | None => {
                     tracing::warn!("unexpected frame from a host; closing its connection");
                     return;
--- a/tests/tier/fact_exchange.rs
+++ b/tests/tier/fact_exchange.rs
@@ -472,6 +472,7 @@
                 plan: Some(plan_with_version(&host, published)),
                 returned_ms_ago: Some(100),
                 extension: None,
+                pass_on: false,
             };
             fact_exchange::on_facts(&host.tier, facts);
             assert!(usable(&host, 0) && usable(&host, 1), "{name}");
@@ -526,7 +527,7 @@
         let bytes = encode(&Frame::Facts(facts.clone()));
         // The index of the frame's kind precedes its fields.
         let (kind, read): (u32, OldFacts) = postcard::from_bytes(&bytes).expect("it is readable");
-        let Facts { after, changes, up_to, plan, returned_ms_ago, extension: _ } = facts;
+        let Facts { after, changes, up_to, plan, returned_ms_ago, .. } = facts;
         assert_eq!(read, OldFacts { after, changes, up_to, plan, returned_ms_ago }, "{name}");
         assert_eq!(kind, 4, "{name}");
     }
