Take over from a reader that has lost the platform within its bound

Callers saw: changes that were late when the readers of all failure domains lost the platform together, and the hosts after them as well; the more hosts, the later.

Cause: the steps add up. A dead connection shows after 1.45 s; that the host no longer reads spread by heartbeat rounds of 250 ms to three hosts; and the next host, which announced that it reads because it once did, was believed for as long as its own waiting call was dead, another 1.45 s.

Change: a host announces at once to its domain whether it reads (and to all hosts its phase), and the first call after a time without reading does not wait, so that a host which can't read says so within 450 ms.

--- a/src/connection/peer_links.rs
+++ b/src/connection/peer_links.rs
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 pub enum LinkEvent {
     /// A frame is sent to a host.
-    Sent(Ipv4Addr, Frame),
+    Sent(Ipv4Addr, Box<Frame>),
     /// The connection to a host is closed.
     Closed(Ipv4Addr),
 }
@@ -80,7 +80,7 @@
     /// Sends a frame that expects no parts; drops it if the host's queue is full.
     pub fn send(&self, host: Ipv4Addr, port: u16, frame: Frame) {
         if let Some(network) = self.simulated.get() {
-            let _ = network.send(LinkEvent::Sent(host, frame));
+            let _ = network.send(LinkEvent::Sent(host, Box::new(frame)));
             return;
         }
         if self.link(host, port).frames.try_send(frame).is_err() {
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -44,9 +44,13 @@
     let mut read_of = None;
     let mut lost_plan = LostPlan::default();
     let mut backoff = MIN_BACKOFF;
+    // Whether the last call succeeded. A host that has not read for a while may be cut off from the
+    // source, and a call that does not wait shows this sooner.
+    let mut confirmed = false;
     loop {
         whole |= lost_plan.is_due(tier.now());
         if !whole && !is_reader(&tier) {
+            confirmed = false;
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
@@ -54,12 +58,14 @@
         let after = tier.registry(Registry::position);
         // Another host that read the epoch, or started the series of plans, may have missed or not
         // passed on what the source holds, and may have failed since.
-        whole |= read_of != Some(tier.epochs());
+        whole |= confirmed && read_of != Some(tier.epochs());
+        let max_wait = if confirmed { LONG_POLL_TIMEOUT } else { Duration::ZERO };
         let result = if whole {
             source.read_all().await
         } else {
-            source.changes_after(after, LONG_POLL_TIMEOUT).await
+            source.changes_after(after, max_wait).await
         };
+        confirmed = result.is_ok();
         let result = result.and_then(|update| reject_outdated(&tier, update));
         let delay = match result {
             // The registry can only follow changes within an epoch.
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -236,6 +236,8 @@
     seeds: Vec<Ipv4Addr>,
     next_same_domain_round: Monotonic,
     next_cross_domain_round: Monotonic,
+    /// The phase, and whether the host reads, as last sent to all hosts that must know at once.
+    announced: (Phase, bool),
 }
 
 impl Members {
@@ -247,6 +249,7 @@
             seeds: Vec::new(),
             next_same_domain_round: now,
             next_cross_domain_round: now,
+            announced: (me.phase, me.reads),
         };
         members.set_seeds(seeds);
         members
@@ -318,7 +321,26 @@
             let heartbeats = if in_other_domain(&ip) { &own_domain } else { &all };
             (ip, Gossip { heartbeats: heartbeats.clone(), wants_answer, ..Gossip::default() })
         };
-        recipients.into_iter().map(gossip).collect()
+        let mut messages: Vec<(Ipv4Addr, Gossip)> = recipients.into_iter().map(gossip).collect();
+        messages.extend(self.announcements(now));
+        messages
+    }
+
+    /// Returns messages to the hosts that must not wait for the next rounds: those that would
+    /// direct work to this host learn its phase, those of its domain whether it reads.
+    fn announcements(&mut self, now: Monotonic) -> Vec<(Ipv4Addr, Gossip)> {
+        let current = (self.me.phase, self.me.reads);
+        let before = std::mem::replace(&mut self.announced, current);
+        if before == current {
+            return Vec::new();
+        }
+        let new_phase = before.0 != current.0;
+        let own_domain = self.me.domain;
+        self.me.count += 1;
+        let recipients =
+            self.live_addresses(now, |member| new_phase || member.domain == own_domain);
+        let gossip = Gossip { heartbeats: vec![self.me], ..Gossip::default() };
+        recipients.into_iter().map(|ip| (ip, gossip.clone())).collect()
     }
 
     fn is_small_fleet(&self) -> bool {
--- a/tests/tier/fact_delivery.rs
+++ b/tests/tier/fact_delivery.rs
@@ -196,3 +196,51 @@
     }
     assert!(late.is_empty(), "{} series: {late:#?}", late.len());
 }
+
+/// Guards against a bound that the steps between the platform and the hosts exceed together: a dead
+/// connection of the reader, the next host that reads, the exchange between hosts. Prints how long
+/// each step took.
+#[tokio::test(start_paused = true)]
+async fn change_is_applied_in_time_when_readers_lose_the_platform_as_it_is_made() {
+    struct Case {
+        hosts: usize,
+        /// The first hosts, which read, lose their paths from the platform.
+        cut: usize,
+    }
+    let cases = [
+        Case { hosts: 8, cut: 0 },
+        Case { hosts: 8, cut: 1 },
+        Case { hosts: 8, cut: 4 },
+        Case { hosts: 60, cut: 0 },
+        Case { hosts: 60, cut: 4 },
+        Case { hosts: 60, cut: 8 },
+        Case { hosts: 300, cut: 8 },
+    ];
+    let mut late = Vec::new();
+    for Case { hosts, cut } in cases {
+        let moments = if hosts > 8 { 2 } else { 6 };
+        for moment in 0..moments {
+            let mut fleet = Fleet::start(hosts).await;
+            // Over these moments the change meets a waiting call at any time of its wait.
+            fleet.run_for(Duration::from_millis(170 * moment)).await;
+            {
+                let mut network = fleet.network.lock().expect("no holder of the lock panics");
+                (0..cut).for_each(|host| network.cut(Node::Source, Node::Host(host)));
+            }
+            let revision = fleet.change();
+            let changed_at = Instant::now();
+            let mut reached_ms = Vec::new();
+            while reached_ms.len() < hosts && changed_at.elapsed() < APPLY_TIME * 2 {
+                fleet.step().await;
+                let reached = fleet.hosts.iter().filter(|h| h.tier.plan.load().version >= revision);
+                reached_ms.resize(reached.count(), changed_at.elapsed().as_millis());
+            }
+            let stages = (reached_ms.first(), reached_ms.get(hosts / 2), reached_ms.last());
+            println!("{hosts} hosts, {cut} cut, first, half and all after (ms): {stages:?}");
+            if reached_ms.len() < hosts || changed_at.elapsed() > APPLY_TIME {
+                late.push(format!("{hosts} hosts, {cut} cut: {stages:?}"));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
--- a/tests/tier/simulated_fleet.rs
+++ b/tests/tier/simulated_fleet.rs
@@ -321,7 +321,7 @@
                         let key = (from, index(to));
                         let connection =
                             self.connections.entry(key).or_insert_with(Connection::new);
-                        connection.queued.push_back((true, frame));
+                        connection.queued.push_back((true, *frame));
                     }
                     LinkEvent::Closed(to) => {
                         self.connections.remove(&(from, index(to)));
