Serve requests through another host when the servers can't be reached

Callers saw: while a host had lost its paths to all servers, but not to its callers and the other hosts, it served few of their requests, or none (single-service and split routes), and a caller waited about a second for a hung one.

Cause: a host has one way to a server, its own connection. Only the parts of gathers have another one, a relay in the server's domain. Nothing told a host without paths from a platform whose servers had failed, so each request tried server after server, each with the whole connection timeout.

A host that can reach no server, or none of a service, forwards requests whole to another host, chosen at random by spare capacity among those that can reach servers, have its plan or a newer one, and are where the route allows. That host serves them like its own callers', with the remaining time and attempts, and never forwards them again. A request that may not be repeated is forwarded only while it has not been sent, and a lost connection to the other host leaves its outcome unknown. An idempotent request in flight is given up once it is overdue and its service out of reach, and does not count as an attempt. A cut-off host announces itself at once as not ready, probes every 0.2 to 0.8 s, and forgets on its return what it has learned about servers meanwhile. Heartbeats carry the number of running requests after what older builds read; hosts without it are not asked, and still relay parts.

Tests: hosts over loopback sockets before fake servers whose links hang, are reset, or refuse new connections, one or two of three hosts; first tries counted per host and route, at least 19 in 20 served, no idempotent one in more than 0.9 s.

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::exchange::{Call, Signature};
-use crate::ids::{ConfigVersion, RequestId, Revision, ServerId};
+use crate::ids::{ConfigVersion, RequestId, Revision, ServerId, ServiceId};
 use crate::outcome::Outcome;
 use crate::position::{Epochs, PlanOrder};
 use crate::process::servers::registry::Change;
@@ -44,6 +44,13 @@
     Pull(Known),
     /// Facts of the platform.
     Facts(Facts),
+    /// Asks a host to serve a whole request in place of one that can't reach the servers. Builds
+    /// before the frame reject it; they announce no load (see [`Heartbeat`]).
+    ///
+    /// [`Heartbeat`]: crate::process::membership::members::Heartbeat
+    Forward(ForwardCall),
+    /// The answer to a forwarded request.
+    Forwarded(ForwardReply),
 }
 
 /// The revision and plan version that a host has.
@@ -137,15 +144,12 @@
 
 impl From<&Call> for ForwardedRequest {
     fn from(call: &Call) -> Self {
-        let header = |(name, value): (&HeaderName, &HeaderValue)| {
-            (name.as_str().to_smolstr(), value.as_bytes().to_vec())
-        };
         Self {
             method: call.method.as_str().to_smolstr(),
             path: call.path.clone(),
             host: call.host.clone(),
             request_id: call.request_id.clone(),
-            headers: call.headers.iter().map(header).collect(),
+            headers: encode_headers(&call.headers),
             body: call.body.to_vec(),
         }
     }
@@ -154,11 +158,7 @@
 impl ForwardedRequest {
     /// Converts to a request; returns `None` if the method or a header is invalid.
     pub fn into_call(self) -> Option<Call> {
-        let mut headers = HeaderMap::with_capacity(self.headers.len());
-        for (name, value) in self.headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-            headers.append(name, HeaderValue::from_bytes(&value).ok()?);
-        }
+        let headers = decode_headers(self.headers)?;
         Some(Call {
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
             path: self.path,
@@ -170,6 +170,59 @@
     }
 }
 
+/// Asks a host to serve a whole request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardCall {
+    /// The identifier of the call, which its reply carries.
+    pub id: CallId,
+    /// The place of the sender's plan in the order of plans. A host with an older one refuses.
+    pub plan: PlanOrder,
+    /// The service that the sender has chosen for a request with one server.
+    pub service: Option<ServiceId>,
+    /// The number of attempts that the sender has made already.
+    pub attempts_made: u32,
+    /// The time left until the deadline.
+    pub left_ms: u32,
+    /// The time left until an answer no longer meets the latency target.
+    pub target_left_ms: u32,
+    /// The caller's request.
+    pub request: ForwardedRequest,
+}
+
+/// The answer to a forwarded request, or the next piece of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardReply {
+    /// The identifier of the call.
+    pub id: CallId,
+    /// The outcome, which each piece repeats.
+    pub outcome: Outcome<ForwardAnswer>,
+    /// A piece of the body.
+    pub body: Vec<u8>,
+    /// Whether more pieces follow.
+    pub more: bool,
+}
+
+/// The head of the answer to a forwarded request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ForwardAnswer {
+    /// The reply of one server.
+    Reply {
+        /// The status.
+        status: u16,
+        /// The forwarded headers.
+        headers: Vec<(SmolStr, Vec<u8>)>,
+        /// The server's signature.
+        signature: Option<Signature>,
+    },
+    /// The merged parts of several shards.
+    Gathered {
+        /// The signatures of the received parts.
+        signatures: Vec<Signature>,
+        /// The number of shards without a part.
+        missing: u32,
+    },
+}
+
 /// Parts of the answer to a call; an answer consists of one or several such frames.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayParts {
@@ -204,6 +257,24 @@
     pub outcome: Outcome<()>,
 }
 
+/// Returns headers in the form in which hosts exchange them.
+pub fn encode_headers(headers: &HeaderMap) -> Vec<(SmolStr, Vec<u8>)> {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        (name.as_str().to_smolstr(), value.as_bytes().to_vec())
+    };
+    headers.iter().map(header).collect()
+}
+
+/// Converts headers that a host sent; returns `None` if one is invalid.
+pub fn decode_headers(encoded: Vec<(SmolStr, Vec<u8>)>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(encoded.len());
+    for (name, value) in encoded {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+    }
+    Some(headers)
+}
+
 /// Returns the codec that splits a stream into frames.
 pub fn codec() -> LengthDelimitedCodec {
     let mut codec = LengthDelimitedCodec::builder();
@@ -223,9 +294,13 @@
         Frame::Parts(RelayParts { rate_limited, .. }) if !rate_limited.is_empty() => {
             postcard::to_extend(rate_limited, bytes)
         }
-        Frame::Call(_) | Frame::Parts(_) | Frame::Cancel(_) | Frame::Pull(_) | Frame::Facts(_) => {
-            Ok(bytes)
-        }
+        Frame::Call(_)
+        | Frame::Parts(_)
+        | Frame::Cancel(_)
+        | Frame::Pull(_)
+        | Frame::Facts(_)
+        | Frame::Forward(_)
+        | Frame::Forwarded(_) => Ok(bytes),
     });
     Bytes::from(extended.expect("plain data always serializes"))
 }
@@ -243,7 +318,11 @@
         Frame::Parts(parts) => {
             parts.rate_limited = decode_extension(rest).ok()?.unwrap_or_default()
         }
-        Frame::Call(_) | Frame::Cancel(_) | Frame::Facts(_) => {}
+        Frame::Call(_)
+        | Frame::Cancel(_)
+        | Frame::Facts(_)
+        | Frame::Forward(_)
+        | Frame::Forwarded(_) => {}
     }
     Some(frame)
 }
--- a/src/connection/peer_links.rs
+++ b/src/connection/peer_links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -12,7 +12,9 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use super::peer_frame::{CallId, Facts, Frame, RelayCall, RelayParts, codec, decode, encode};
+use super::peer_frame::{
+    CallId, Facts, ForwardCall, ForwardReply, Frame, RelayCall, RelayParts, codec, decode, encode,
+};
 
 /// The timeout for connecting to a host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -20,8 +22,12 @@
 /// reads this slowly is of no help.
 const MAX_QUEUED_FRAMES: usize = 256;
 
-/// Sends the parts of a call to the waiting caller; it is dropped when the connection is lost.
-type PartsSender = mpsc::UnboundedSender<RelayParts>;
+/// Passes the replies to a call to whoever waits for them; it is dropped when the connection is lost.
+#[derive(Debug)]
+enum ReplySender {
+    Parts(mpsc::UnboundedSender<RelayParts>),
+    Forwarded(mpsc::UnboundedSender<ForwardReply>),
+}
 /// Passes on facts that a host sent on a connection to it.
 type FactsSender = mpsc::UnboundedSender<(Ipv4Addr, Facts)>;
 
@@ -29,8 +35,10 @@
 #[derive(Debug)]
 struct Link {
     frames: mpsc::Sender<Frame>,
-    calls: Mutex<HashMap<CallId, PartsSender>>,
+    calls: Mutex<HashMap<CallId, ReplySender>>,
     in_flight: AtomicUsize,
+    /// Whether the connection was ever established, so that frames may have been sent.
+    established: AtomicBool,
     closed: CancellationToken,
 }
 
@@ -106,15 +114,41 @@
     }
 
     /// Sends a call, or returns `None` if the host's queue is full.
-    pub fn call(&self, host: Ipv4Addr, port: u16, mut call: RelayCall) -> Option<PendingCall> {
+    pub fn call(
+        &self,
+        host: Ipv4Addr,
+        port: u16,
+        call: RelayCall,
+    ) -> Option<PendingCall<RelayParts>> {
+        let frame = |id| Frame::Call(RelayCall { id, ..call });
+        self.begin(host, port, frame, ReplySender::Parts)
+    }
+
+    /// Forwards a request, or returns `None` if the host's queue is full.
+    pub fn forward(
+        &self,
+        host: Ipv4Addr,
+        port: u16,
+        call: ForwardCall,
+    ) -> Option<PendingCall<ForwardReply>> {
+        let frame = |id| Frame::Forward(ForwardCall { id, ..call });
+        self.begin(host, port, frame, ReplySender::Forwarded)
+    }
+
+    fn begin<T>(
+        &self,
+        host: Ipv4Addr,
+        port: u16,
+        frame: impl FnOnce(CallId) -> Frame,
+        sender: impl FnOnce(mpsc::UnboundedSender<T>) -> ReplySender,
+    ) -> Option<PendingCall<T>> {
         let link = self.link(host, port);
-        call.id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let id = call.id;
-        let (sender, parts) = mpsc::unbounded_channel();
-        link.calls.lock().expect("no holder of the lock panics").insert(id, sender);
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let (replies, received) = mpsc::unbounded_channel();
+        link.calls.lock().expect("no holder of the lock panics").insert(id, sender(replies));
         link.in_flight.fetch_add(1, Ordering::Relaxed);
-        let sent = link.frames.try_send(Frame::Call(call)).is_ok();
-        let pending = PendingCall { host, id, parts, link, cancel_on_drop: sent };
+        let sent = link.frames.try_send(frame(id)).is_ok();
+        let pending = PendingCall { host, id, replies: received, link, cancel_on_drop: sent };
         sent.then_some(pending)
     }
 
@@ -128,6 +162,7 @@
             frames,
             calls: Mutex::default(),
             in_flight: AtomicUsize::new(0),
+            established: AtomicBool::new(false),
             closed: CancellationToken::new(),
         });
         links.insert(host, link.clone());
@@ -167,6 +202,7 @@
 ) -> std::io::Result<()> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
+    link.established.store(true, Ordering::Relaxed);
     let (mut sink, mut stream) = Framed::new(stream, codec()).split();
     let send = async {
         while let Some(frame) = outgoing.recv().await {
@@ -182,7 +218,9 @@
                     // The receiver lives as long as the host.
                     let _ = facts.send((*addr.ip(), received));
                 }
-                Some(Frame::Call(_) | Frame::Cancel(_) | Frame::Pull(_)) | None => {
+                Some(Frame::Forwarded(reply)) => dispatch_reply(link, reply),
+                Some(Frame::Call(_) | Frame::Cancel(_) | Frame::Pull(_) | Frame::Forward(_))
+                | None => {
                     return Err(std::io::Error::other("received an invalid or unexpected frame"));
                 }
             }
@@ -197,27 +235,39 @@
 
 fn dispatch_parts(link: &Link, parts: RelayParts) {
     let calls = link.calls.lock().expect("no holder of the lock panics");
-    if let Some(call) = calls.get(&parts.id) {
+    if let Some(ReplySender::Parts(call)) = calls.get(&parts.id) {
         // The send fails if the caller no longer waits.
         let _ = call.send(parts);
     }
 }
 
-/// A call in flight that receives parts. Dropping it cancels the call at the relay.
+fn dispatch_reply(link: &Link, reply: ForwardReply) {
+    let calls = link.calls.lock().expect("no holder of the lock panics");
+    if let Some(ReplySender::Forwarded(call)) = calls.get(&reply.id) {
+        let _ = call.send(reply);
+    }
+}
+
+/// A call in flight that receives replies. Dropping it cancels the call at the host.
 #[derive(Debug)]
-pub struct PendingCall {
-    /// The relay.
+pub struct PendingCall<T> {
+    /// The host that was called.
     pub host: Ipv4Addr,
     id: CallId,
-    parts: mpsc::UnboundedReceiver<RelayParts>,
+    replies: mpsc::UnboundedReceiver<T>,
     link: Arc<Link>,
     cancel_on_drop: bool,
 }
 
-impl PendingCall {
-    /// Waits for the next parts; returns `None` if the connection is lost.
-    pub async fn next(&mut self) -> Option<RelayParts> {
-        self.parts.recv().await
+impl<T> PendingCall<T> {
+    /// Waits for the next reply; returns `None` if the connection is lost.
+    pub async fn next(&mut self) -> Option<T> {
+        self.replies.recv().await
+    }
+
+    /// Returns whether the host may have received the call.
+    pub fn may_have_arrived(&self) -> bool {
+        self.link.established.load(Ordering::Relaxed)
     }
 
     /// Marks the call as complete, so that dropping it sends no cancellation.
@@ -226,7 +276,7 @@
     }
 }
 
-impl Drop for PendingCall {
+impl<T> Drop for PendingCall<T> {
     fn drop(&mut self) {
         self.link.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.link.calls.lock().expect("no holder of the lock panics").remove(&self.id);
--- a/src/process/membership/directory/tests.rs
+++ b/src/process/membership/directory/tests.rs
@@ -14,6 +14,7 @@
         revision: 0,
         version: 0,
         reads: true,
+        load: None,
         epochs: None,
     }
 }
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -89,6 +89,7 @@
         me.revision = tier.servers.load().position.revision;
         me.version = tier.plan.load().version;
         me.epochs = Some(tier.epochs());
+        me.load = Some(u16::try_from(tier.running()).unwrap_or(u16::MAX));
         let messages = members.tick(now, &mut rand::rng());
         (messages, members.view(now))
     };
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -85,6 +85,10 @@
     /// announce them. [`Gossip::encode`] appends them to the message.
     #[serde(skip)]
     pub epochs: Option<Epochs>,
+    /// The number of requests that the host is running, or `None` if it runs a build that does not
+    /// serve requests for other hosts. [`Gossip::encode`] appends it to the message.
+    #[serde(skip)]
+    pub load: Option<u16>,
 }
 
 impl Heartbeat {
@@ -123,7 +127,8 @@
 }
 
 /// The epochs of a message's heartbeats, which follow the message. Builds without epochs ignore
-/// bytes after the message, and builds without reports ignore bytes after the epochs.
+/// bytes after the message, builds without reports ignore bytes after the epochs, and builds without
+/// loads ignore bytes after the reports.
 #[derive(Debug, Serialize, Deserialize)]
 struct GossipExtension {
     /// The epochs of the first heartbeat, and of all others that are not listed.
@@ -137,7 +142,9 @@
     pub fn encode(&self) -> Vec<u8> {
         let message = postcard::to_stdvec(self).expect("plain data always serializes");
         let has_epochs = self.heartbeats.iter().any(|heartbeat| heartbeat.epochs.is_some());
-        let has_reports = !self.limit_reports.is_empty() || !self.suspect_reports.is_empty();
+        let has_loads = self.heartbeats.iter().any(|heartbeat| heartbeat.load.is_some());
+        let has_reports =
+            has_loads || !self.limit_reports.is_empty() || !self.suspect_reports.is_empty();
         if !has_epochs && !has_reports {
             return message;
         }
@@ -154,7 +161,12 @@
                 return Ok(message);
             }
             let message = postcard::to_extend(&self.limit_reports, message)?;
-            postcard::to_extend(&self.suspect_reports, message)
+            let message = postcard::to_extend(&self.suspect_reports, message)?;
+            if !has_loads {
+                return Ok(message);
+            }
+            let loads: Vec<Option<u16>> = self.heartbeats.iter().map(|h| h.load).collect();
+            postcard::to_extend(&loads, message)
         });
         extended.expect("plain data always serializes")
     }
@@ -167,7 +179,12 @@
         }
         let (extension, rest) = postcard::take_from_bytes::<GossipExtension>(rest).ok()?;
         if !rest.is_empty() {
-            (gossip.limit_reports, gossip.suspect_reports) = postcard::from_bytes(rest).ok()?;
+            let (reports, rest) = postcard::take_from_bytes(rest).ok()?;
+            (gossip.limit_reports, gossip.suspect_reports) = reports;
+            if !rest.is_empty() {
+                let loads: Vec<Option<u16>> = postcard::from_bytes(rest).ok()?;
+                gossip.heartbeats.iter_mut().zip(loads).for_each(|(h, load)| h.load = load);
+            }
         }
         for heartbeat in &mut gossip.heartbeats {
             heartbeat.epochs = extension.sender;
@@ -375,6 +392,7 @@
                 // of the same incarnation can only lag.
                 let same_life = known.filter(|known| known.life == heartbeat.life);
                 heartbeat.epochs = heartbeat.epochs.or(same_life.and_then(|known| known.epochs));
+                heartbeat.load = heartbeat.load.or(same_life.and_then(|known| known.load));
                 self.others.insert(heartbeat.ip, Member { heartbeat, received_at: now });
             } else if Some(heartbeat.ip) == from && known.is_some_and(|k| k.life >= heartbeat.life)
             {
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -30,6 +30,7 @@
         revision: 0,
         version: 0,
         reads: true,
+        load: None,
         epochs: None,
     }
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -28,6 +28,8 @@
     rate_limited_servers: Gauge<u64>,
     quarantines: Counter<u64>,
     quarantined_requests: Gauge<u64>,
+    cut_offs: Counter<u64>,
+    forwarded: Counter<u64>,
 }
 
 impl Metrics {
@@ -101,6 +103,14 @@
                 .u64_gauge("quarantined_requests")
                 .with_description("Requests in quarantine, by their content")
                 .build(),
+            cut_offs: meter
+                .u64_counter("cut_offs")
+                .with_description("Times that this host lost its paths to all backend servers")
+                .build(),
+            forwarded: meter
+                .u64_counter("forwarded")
+                .with_description("Requests forwarded to other hosts, by outcome")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -165,6 +175,14 @@
         self.quarantined_requests.record(count, &[]);
     }
 
+    pub(crate) fn cut_off(&self) {
+        self.cut_offs.add(1, &[]);
+    }
+
+    pub(crate) fn forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/src/process/servers/passive_health.rs
+++ b/src/process/servers/passive_health.rs
@@ -370,6 +370,16 @@
         *typical = (*typical).max(Duration::from_micros(200));
     }
 
+    /// Forgets failures, when they turn out not to be due to the servers.
+    pub fn forget_failures(&mut self, now: Monotonic) {
+        for stats in self.servers.values_mut() {
+            stats.failure_rate = 0.0;
+            stats.backoff = INITIAL_BACKOFF;
+            stats.backoff_until = Monotonic::ZERO;
+            stats.last_reply_at = now;
+        }
+    }
+
     /// Evicts servers that were not used for `unused_for` and have no pending attempts.
     pub fn forget_unused(&mut self, now: Monotonic, unused_for: Duration) {
         self.servers.retain(|_, stats| {
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -98,6 +98,11 @@
         self.by_id.contains_key(server)
     }
 
+    /// Returns all servers that may get new requests.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<LiveServer>> {
+        self.by_id.values()
+    }
+
     /// Returns how many servers may get new requests.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -26,6 +26,7 @@
 use super::servers::registry::{
     Change, EpochChange, LiveServer, Registry, ServerRecord, ServerView,
 };
+use super::servers::server_paths::ServerPaths;
 use super::servers::split::WeightedRoundRobin;
 use crate::clock::{Clock, Monotonic, millis};
 use crate::connection::exchange::{BackendProtocol, RateStatement};
@@ -112,6 +113,8 @@
     retry_schedule: Mutex<RetrySchedule>,
     quarantine: Mutex<Quarantine>,
     suspicion: Mutex<Suspicion<Ipv4Addr>>,
+    /// The paths to backend servers.
+    pub server_paths: ServerPaths,
     paths: Mutex<DomainPaths>,
     pulls: Mutex<PullSchedule>,
     extra: Mutex<ExtraAttemptBudget>,
@@ -138,6 +141,7 @@
             version: 0,
             reads: false,
             epochs: Some(Epochs::default()),
+            load: Some(0),
         };
         Self {
             members: Mutex::new(Members::new(clock.now(), me, settings.seeds.clone())),
@@ -164,6 +168,7 @@
             retry_schedule: Mutex::default(),
             quarantine: Mutex::default(),
             suspicion: Mutex::default(),
+            server_paths: ServerPaths::default(),
             paths: Mutex::default(),
             pulls: Mutex::default(),
             split: Mutex::default(),
@@ -509,6 +514,23 @@
         }
     }
 
+    /// Records that a server of a service has answered or accepted a connection. The failures of
+    /// servers while this host was cut off from all of them say nothing about the servers.
+    pub fn on_server_reached(&self, service: &ServiceId) {
+        let now = self.now();
+        if self.server_paths.on_answer(now, service) {
+            self.passive_health().forget_failures(now);
+        }
+    }
+
+    /// Records that a connection to a server, tried at `tried_at`, could not be opened.
+    pub fn on_server_unreachable(&self, record: &ServerRecord, tried_at: Monotonic) {
+        let servers = self.servers.load();
+        if self.server_paths.on_failure(self.now(), record, tried_at, &servers) {
+            self.metrics.cut_off();
+        }
+    }
+
     /// Returns the failure domains that this host can't reach at present.
     pub fn unreachable_domains(&self) -> SmallVec<[DomainIndex; 4]> {
         self.paths().unreachable(self.now())
@@ -517,6 +539,9 @@
     /// Returns whether this host can't reach enough servers for some route, although the servers are
     /// in service: callers are better served by another host.
     pub fn is_cut_off(&self) -> bool {
+        if self.server_paths.is_cut_off() {
+            return true;
+        }
         let paths = self.paths();
         if !paths.any_doubtful() {
             return false;
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -14,6 +14,7 @@
 use crate::connection::server_pool::{ASSUMED_ALIVE_FOR, ConnectionPermit};
 use crate::ids::{ConfigVersion, ServerId, ServiceId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::position::PlanOrder;
 use crate::process::quarantine::{Fingerprint, RunId};
 use crate::process::servers::passive_health::{AttemptEnd, PassiveHealth, ServerHealth, Ticket};
 use crate::process::servers::registry::{LiveServer, ServerRecord};
@@ -66,9 +67,33 @@
     pub fingerprint: Fingerprint,
     /// Whether the request is a suspect whose run was announced to the other hosts.
     pub in_trial: AtomicBool,
+    /// The place of the plan that the request is pinned to.
+    pub plan: PlanOrder,
+    /// Who sent the request to this host.
+    pub origin: Origin,
+}
+
+/// Who sent a request to this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// A host that can't serve it, after up to `attempts_made` servers may have run it.
+    Host {
+        /// The number of these servers.
+        attempts_made: u32,
+    },
 }
 
 impl Job {
+    /// Returns the number of servers that may have run the request before it came to this host.
+    pub const fn attempts_made(&self) -> u32 {
+        match self.origin {
+            Origin::Caller => 0,
+            Origin::Host { attempts_made } => attempts_made,
+        }
+    }
+
     /// Tells whether the request may be sent once more, after a server may have crashed because of
     /// it. A suspect's next run must be the only one among all hosts.
     pub fn may_send_again<B: BackendProtocol>(&self, tier: &Tier<B>) -> bool {
@@ -305,7 +330,8 @@
     let id = &server.record.id;
     let ticket = tier.passive_health().on_sent(began_at, id, expected);
     let mut guard = AttemptGuard { tier, server, ticket, job, end: AttemptEnd::Abandoned };
-    let outcome = run(tier, job, server, &mut guard).await;
+    let overdue_after = PassiveHealth::overdue_after(expected);
+    let outcome = run(tier, job, server, overdue_after, &mut guard).await;
     let took = tier.now().saturating_sub(began_at);
     guard.end = match &outcome {
         Outcome::Answered(reply) if reply.is_success() || reply.status < 500 => {
@@ -324,6 +350,7 @@
     tier: &Tier<B>,
     job: &Job,
     server: &LiveServer,
+    overdue_after: Duration,
     guard: &mut AttemptGuard<'_, B>,
 ) -> Outcome<Reply> {
     let record = &server.record;
@@ -374,7 +401,13 @@
         // Bytes that arrive slowly would keep an attempt alive that nobody waits for, for example at
         // a relay whose calling host is lost.
         let time_limit = left + REMAINING_TIMEOUT;
-        let exchanged = match timeout(time_limit, link.exchange(&job.call, id, left)).await {
+        let exchanged = tokio::select! {
+            exchanged = timeout(time_limit, link.exchange(&job.call, id, left)) => exchanged,
+            () = path_lost(tier, job, record, overdue_after) => {
+                return Outcome::Unknown(UnknownReason::ConnectionLost);
+            }
+        };
+        let exchanged = match exchanged {
             Ok(exchanged) => exchanged,
             Err(_) => return Outcome::Unknown(UnknownReason::TimedOut),
         };
@@ -383,6 +416,7 @@
         }
         if !matches!(exchanged, ExchangeResult::Unsent | ExchangeResult::Lost(_)) {
             tier.on_domain_answered(tier.domain_index(&record.domain));
+            tier.on_server_reached(&record.service);
         }
         if let Some(may_idle) = link.keep_alive_time() {
             slot.return_to_pool(tier.now(), link, began_at, may_idle);
@@ -416,6 +450,21 @@
     }
 }
 
+/// Waits until an idempotent request is overdue and no server of its service can be reached, so that
+/// its reply will not arrive either. Any other request waits for a reply all the same.
+async fn path_lost<B: BackendProtocol>(
+    tier: &Tier<B>,
+    job: &Job,
+    record: &ServerRecord,
+    overdue_after: Duration,
+) {
+    if job.route.repeat == Idempotency::NonIdempotent {
+        std::future::pending().await
+    }
+    tokio::time::sleep(overdue_after).await;
+    tier.server_paths.unreachable(&record.service).await;
+}
+
 /// Counts a request as running at a server until it is dropped.
 struct RunningGuard<'a, B: BackendProtocol> {
     tier: &'a Tier<B>,
@@ -476,15 +525,23 @@
     };
     let began_at = tier.now();
     let left = job.deadline.saturating_sub(began_at).min(CONNECT_TIMEOUT);
-    match timeout(left, tier.backend.connect(record.addr)).await {
+    let connected = tokio::select! {
+        connected = timeout(left, tier.backend.connect(record.addr)) => connected,
+        () = tier.server_paths.newly_unreachable(&record.service) => {
+            return Err(NotRunReason::Unreachable);
+        }
+    };
+    match connected {
         Ok(Ok(link)) => Ok((link, slot)),
         Ok(Err(error)) => {
+            tier.on_server_unreachable(record, began_at);
             tracing::debug!(
                 server = %record.id, addr = %record.addr, %error, "failed to connect to a server"
             );
             Err(NotRunReason::Unreachable)
         }
         Err(_) => {
+            tier.on_server_unreachable(record, began_at);
             tier.on_domain_silent(tier.domain_index(&record.domain), &record.id, began_at);
             Err(NotRunReason::Unreachable)
         }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -38,14 +38,14 @@
     },
     Relay {
         group: usize,
-        call: PendingCall,
+        call: PendingCall<RelayParts>,
     },
 }
 
 /// The result of an attempt, or one reply of a relay.
 pub(super) enum Event {
     Direct(usize, ServerId, Outcome<Reply>),
-    Relayed(usize, PendingCall, Option<RelayParts>),
+    Relayed(usize, PendingCall<RelayParts>, Option<RelayParts>),
 }
 
 /// The first attempt at a shard, which counts towards the baseline.
@@ -198,7 +198,7 @@
     version: u64,
     sends: &[PlannedAttempt],
     insists: Insists,
-) -> Option<PendingCall> {
+) -> Option<PendingCall<RelayParts>> {
     let baseline = job.baseline.get();
     let shard = |send: &PlannedAttempt| ShardIndex::try_from(send.shard).ok();
     let call = RelayCall {
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -6,16 +6,20 @@
 
 use smol_str::format_smolstr;
 
-use super::attempt::Job;
+use super::attempt::{Job, Origin};
 use super::baseline::Baseline;
+use super::forward::{AskedHosts, choose_host, forward};
 use super::scatter::{Gathered, scatter};
 use super::single::single;
 use crate::clock::{Monotonic, millis};
 use crate::connection::exchange::{BackendProtocol, Call, Reply};
-use crate::outcome::{NotRunReason, Outcome};
+use crate::ids::{ConfigVersion, ServiceId};
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::position::PlanOrder;
+use crate::process::membership::members::Phase;
 use crate::process::quarantine::Refusal;
 use crate::process::tier::Tier;
-use crate::version::plan::{Route, Target};
+use crate::version::plan::{GatherRule, Route, Target};
 
 /// Time subtracted from the latency target, which counts from the moment the caller starts to
 /// connect: two or three transits between caller and host, timer delays and merging. A few missing
@@ -102,29 +106,19 @@
         }
         return Served::of(Outcome::Answered(Answer::NoRoute));
     };
-    let job = Arc::new(job(tier, route.clone(), request, began_at));
+    let job = Arc::new(job(tier, route.clone(), request, began_at, plan.order()));
     let admission = tier.quarantine().check(began_at, job.fingerprint);
     if let Err(Refusal { retry_after }) = admission {
         let outcome = Outcome::NotRun(NotRunReason::Quarantined);
-        log(tier, &job, &outcome, began_at, plan.version);
+        log_end(tier, &job, &outcome, began_at, plan.version);
         return Served { outcome, retry_after };
     }
     job.begin_trial(tier);
-    let outcome = match &job.route.target {
-        Target::Service(service) => single(tier, &job, service).await.map(Answer::Forwarded),
-        Target::Split(parts) => {
-            let service = tier.split().next_service(&job.route.id, parts);
-            match service {
-                Some(service) => single(tier, &job, &service).await.map(Answer::Forwarded),
-                None => Outcome::NotRun(NotRunReason::NotReady),
-            }
-        }
-        Target::Gather(rule) => scatter(tier, &job, rule, plan.version).await.map(Answer::Gathered),
-    };
+    let outcome = run(tier, &job, None, plan.version).await;
     if job.in_trial.load(Ordering::Relaxed) {
         tier.quarantine().end_trial(job.fingerprint);
     }
-    log(tier, &job, &outcome, began_at, plan.version);
+    log_end(tier, &job, &outcome, began_at, plan.version);
     if matches!(outcome, Outcome::NotRun(NotRunReason::Unreachable)) && tier.is_cut_off() {
         return Served::elsewhere(outcome);
     }
@@ -135,11 +129,82 @@
     Served::of(outcome)
 }
 
+/// Runs an admitted request. `chosen` is the service that another host has chosen for it.
+pub(super) async fn run<B: BackendProtocol>(
+    tier: &Arc<Tier<B>>,
+    job: &Arc<Job>,
+    chosen: Option<ServiceId>,
+    version: ConfigVersion,
+) -> Outcome<Answer> {
+    match &job.route.target {
+        Target::Service(service) => single(tier, job, service).await.map(Answer::Forwarded),
+        Target::Split(parts) => {
+            let chosen = chosen.filter(|chosen| parts.iter().any(|(part, _)| part == chosen));
+            let next = || tier.split().next_service(&job.route.id, parts);
+            match chosen.or_else(next) {
+                Some(service) => single(tier, job, &service).await.map(Answer::Forwarded),
+                None => Outcome::NotRun(NotRunReason::NotReady),
+            }
+        }
+        Target::Gather(rule) => gather(tier, job, rule, version).await,
+    }
+}
+
+/// Gathers the parts of an answer, or lets another host do so if this one can't reach enough servers.
+async fn gather<B: BackendProtocol>(
+    tier: &Arc<Tier<B>>,
+    job: &Arc<Job>,
+    rule: &GatherRule,
+    version: ConfigVersion,
+) -> Outcome<Answer> {
+    let mut asked = AskedHosts::new();
+    let mut outcome = Outcome::NotRun(NotRunReason::Unreachable);
+    let is_cut_off = tier.server_paths.is_cut_off();
+    // Hosts of a build that does not serve whole requests for others still relay their parts.
+    let has_relays = || tier.fleet.load().up.iter().any(|host| host.phase == Phase::Ready);
+    let by_relays =
+        || job.origin == Origin::Caller && choose_host(tier, job, &asked).is_none() && has_relays();
+    if !is_cut_off || by_relays() {
+        outcome = scatter(tier, job, rule, version).await.map(Answer::Gathered);
+    }
+    while may_gather_elsewhere(tier, rule, &outcome)
+        && let Some(host) = choose_host(tier, job, &asked)
+    {
+        asked.push(host);
+        outcome = forward(tier, job, host, None, 0).await;
+    }
+    outcome
+}
+
+/// Tells whether another host may gather the parts after this outcome. If servers may have run the
+/// request, this takes an extra attempt at each shard out of the budget.
+fn may_gather_elsewhere<B: BackendProtocol>(
+    tier: &Tier<B>,
+    rule: &GatherRule,
+    outcome: &Outcome<Answer>,
+) -> bool {
+    match outcome {
+        Outcome::NotRun(
+            NotRunReason::Unreachable
+            | NotRunReason::Overloaded
+            | NotRunReason::NotReady
+            | NotRunReason::VersionGone,
+        ) => true,
+        Outcome::Unknown(UnknownReason::ConnectionLost) => {
+            let (now, sharing) = (tier.now(), tier.fleet.load().known_hosts);
+            let mut extra = tier.extra();
+            rule.shards.iter().all(|shard| extra.try_spend(now, shard, sharing))
+        }
+        Outcome::NotRun(_) | Outcome::Unknown(_) | Outcome::Answered(_) => false,
+    }
+}
+
 fn job<B: BackendProtocol>(
     tier: &Tier<B>,
     route: Arc<Route>,
     request: Request,
     began_at: Monotonic,
+    plan: PlanOrder,
 ) -> Job {
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let used = |left| tier.usual_timeouts().used(&route.id, left);
@@ -155,6 +220,8 @@
         soft_deadline: began_at + target_left.saturating_sub(reply_margin(target)),
         typical,
         baseline: Baseline::default(),
+        plan,
+        origin: Origin::Caller,
         route,
     }
 }
@@ -164,7 +231,7 @@
     REPLY_MARGIN + target.mul_f64(REPLY_MARGIN_SHARE)
 }
 
-fn log<B: BackendProtocol>(
+pub(super) fn log_end<B: BackendProtocol>(
     tier: &Tier<B>,
     job: &Job,
     outcome: &Outcome<Answer>,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod coordinator;
 mod dispatch;
 pub mod entry;
+mod forward;
 pub mod gather;
 pub mod http;
 pub mod parts;
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -18,8 +18,11 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use super::attempt::{Job, NoServer, attempt, choose_near_server, failure_of, finish_remaining};
+use super::attempt::{
+    Job, NoServer, Origin, attempt, choose_near_server, failure_of, finish_remaining,
+};
 use super::baseline::{Baseline, late_after};
+use super::forward;
 use super::records::TopRecords;
 use super::server_choice::Purpose;
 use super::timer::sleep_until;
@@ -27,7 +30,8 @@
 use crate::connection::accept::accept;
 use crate::connection::exchange::{BackendProtocol, Call, Reply};
 use crate::connection::peer_frame::{
-    CallId, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode, encode,
+    CallId, ForwardCall, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode,
+    encode,
 };
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome};
@@ -89,7 +93,8 @@
                     let _ = frames.try_send(Frame::Facts(facts));
                 }
                 Some(Frame::Facts(facts)) => fact_exchange::on_pushed(&tier, facts),
-                Some(Frame::Parts(_)) | None => {
+                Some(Frame::Forward(call)) => start_forwarded(&tier, call, &frames, &running),
+                Some(Frame::Parts(_) | Frame::Forwarded(_)) | None => {
                     tracing::warn!("unexpected frame from a host; closing its connection");
                     return;
                 }
@@ -123,6 +128,24 @@
     });
 }
 
+fn start_forwarded<B: BackendProtocol>(
+    tier: &Arc<Tier<B>>,
+    call: ForwardCall,
+    frames: &mpsc::Sender<Frame>,
+    running: &Running,
+) {
+    let (id, token) = (call.id, CancellationToken::new());
+    running.lock().expect("no holder of the lock panics").insert(id, token.clone());
+    let (tier, frames, running) = (tier.clone(), frames.clone(), running.clone());
+    tokio::spawn(async move {
+        tokio::select! {
+            () = forward::serve(&tier, call, &frames) => {}
+            () = token.cancelled() => {}
+        }
+        running.lock().expect("no holder of the lock panics").remove(&id);
+    });
+}
+
 /// A relayed call in progress.
 struct RelayedCall {
     id: CallId,
@@ -188,6 +211,8 @@
             soft_deadline: deadline,
             typical: tier.passive_health().typical(&route.id, route.latency_target),
             baseline: Baseline::default(),
+            plan: plan.order(),
+            origin: Origin::Host { attempts_made: 0 },
             route: route.clone(),
         });
         if call.pace_us > 0 {
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -107,6 +107,8 @@
     let mut running: FuturesUnordered<_> = scatter.send(first).into_iter().map(wait).collect();
     let soft_deadline = tier.clock.instant(job.soft_deadline);
     let deadline = tier.clock.instant(job.deadline);
+    let cut_off = tier.server_paths.newly_cut_off();
+    tokio::pin!(cut_off);
     loop {
         let parts = scatter.parts.covered();
         let enough = parts >= needed;
@@ -128,6 +130,10 @@
                 let sends = scatter.on_check();
                 running.extend(scatter.send(sends).into_iter().map(wait));
             }
+            () = cut_off.as_mut(), if !enough => {
+                // What was sent directly is not answered any more; another host may still gather all.
+                return scatter.give_up();
+            }
             () = tokio::time::sleep_until(soft_deadline), if enough => {}
             () = tokio::time::sleep_until(deadline) => break,
         }
@@ -211,6 +217,8 @@
             && self.runs[shard].send_count() == 1
         {
             self.tier.passive_health().on_overdue(now, &first.server);
+            let service = &self.shards[shard];
+            self.tier.server_paths.on_silence(now, service, &first.server, first.sent_at);
         }
     }
 
@@ -518,6 +526,15 @@
         }
     }
 
+    /// Ends the request because this host can't reach the servers any more.
+    fn give_up(self) -> Outcome<Gathered> {
+        self.log(self.shards.len() - self.parts.covered());
+        if self.parts.covered() > 0 || self.runs.iter().any(ShardRun::may_have_run) {
+            return Outcome::Unknown(UnknownReason::ConnectionLost);
+        }
+        Outcome::NotRun(NotRunReason::Unreachable)
+    }
+
     fn finish(self, needed: usize) -> Outcome<Gathered> {
         let covered = self.parts.covered();
         let missing = self.shards.len() - covered;
--- a/src/request/shard_run.rs
+++ b/src/request/shard_run.rs
@@ -43,6 +43,8 @@
     delivered: u32,
     refusals: u32,
     answered: bool,
+    /// An attempt was given up because the path to its server was lost, so that it may have run.
+    path_lost: bool,
     next_check_at: Option<Monotonic>,
     failure: Option<Outcome<()>>,
 }
@@ -65,7 +67,7 @@
 
     /// Tells whether any server may have run the request.
     pub const fn may_have_run(&self) -> bool {
-        self.ran > 0 || self.running > 0
+        self.ran > 0 || self.running > 0 || self.path_lost
     }
 
     /// Returns why the last attempt failed.
@@ -73,6 +75,11 @@
         self.failure.as_ref()
     }
 
+    /// Returns the number of servers that may have received the request.
+    pub fn may_have_reached(&self) -> u32 {
+        self.reached.len() as u32
+    }
+
     /// Returns how many times the request was sent to a server.
     pub const fn send_count(&self) -> u32 {
         self.send_count
@@ -224,13 +231,23 @@
         Next::Retry
     }
 
+    /// Records an attempt that was given up because no server can be reached any more. It does not
+    /// count towards the attempts, since another host may still serve the request.
+    pub fn on_path_lost(&mut self, server: &ServerId, attempts: u32) -> Next {
+        self.running = self.running.saturating_sub(1);
+        self.reached.retain(|reached| reached != server);
+        self.path_lost = true;
+        self.failure = Some(Outcome::Unknown(UnknownReason::ConnectionLost));
+        if self.running > 0 || !self.may_send(attempts) { Next::Wait } else { Next::Retry }
+    }
+
     /// Returns the outcome of an unanswered shard.
     pub fn unanswered(&self) -> Outcome<()> {
         if self.running > 0 {
             return Outcome::Unknown(UnknownReason::TimedOut);
         }
         match &self.failure {
-            Some(Outcome::NotRun(reason)) if self.ran == 0 => Outcome::NotRun(*reason),
+            Some(Outcome::NotRun(reason)) if !self.may_have_run() => Outcome::NotRun(*reason),
             Some(Outcome::Unknown(reason)) => Outcome::Unknown(*reason),
             Some(_) => Outcome::Unknown(UnknownReason::BadReply),
             None => Outcome::NotRun(NotRunReason::DeadlineTooClose),
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -97,14 +97,65 @@
     pub crashes: usize,
 }
 
+/// What happens to the connections of one host to all servers, or to those that it selects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Links {
+    #[default]
+    Whole,
+    /// Nothing passes on open connections, and new ones are neither accepted nor refused.
+    Hang,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    RefuseNew,
+}
+
+/// The connections of one host.
+#[derive(Debug, Default)]
+struct HostLinks {
+    links: Links,
+    /// The only servers that are affected, or none for all.
+    affected: Vec<SocketAddr>,
+}
+
 /// The fake servers of a test, by address, which also serve as its backend protocol.
 #[derive(Debug, Clone, Default)]
 pub struct FakeServers {
     servers: Arc<Mutex<HashMap<SocketAddr, FakeServer>>>,
     stats: Arc<Mutex<ServerStats>>,
+    links: Arc<Mutex<HostLinks>>,
 }
 
 impl FakeServers {
+    /// Returns the same servers, as another host reaches them.
+    pub fn for_another_host(&self) -> Self {
+        Self { links: Arc::default(), ..self.clone() }
+    }
+
+    /// Sets what happens to the connections of this host to some servers, or to all if none is named.
+    pub fn set_links(&self, links: Links, affected: &[SocketAddr]) {
+        let mut own = self.links.lock().expect("no holder of the lock panics");
+        *own = HostLinks { links, affected: affected.to_vec() };
+    }
+
+    fn links_to(&self, addr: SocketAddr) -> Links {
+        let own = self.links.lock().expect("no holder of the lock panics");
+        let affected = own.affected.is_empty() || own.affected.contains(&addr);
+        if affected { own.links } else { Links::Whole }
+    }
+
+    /// Waits until the connections to a server are no longer in order.
+    async fn until_links_fail(&self, addr: SocketAddr) -> Links {
+        loop {
+            match self.links_to(addr) {
+                Links::Whole | Links::RefuseNew => {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                failed => return failed,
+            }
+        }
+    }
+
     pub fn stats(&self) -> MutexGuard<'_, ServerStats> {
         self.stats.lock().expect("no holder of the lock panics")
     }
@@ -176,6 +227,13 @@
         if self.is_down(addr) {
             return Err(io::ErrorKind::ConnectionRefused.into());
         }
+        match self.links_to(addr) {
+            Links::Whole => {}
+            Links::Hang => std::future::pending().await,
+            Links::Reset | Links::RefuseNew => {
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            }
+        }
         match self.behaviour(addr).0 {
             Mode::Unreachable => return Err(io::ErrorKind::ConnectionRefused.into()),
             Mode::CutOff => std::future::pending().await,
@@ -200,7 +258,45 @@
 }
 
 impl Exchange for FakeLink {
-    async fn exchange(&mut self, call: &Call, _: &ServerId, time_left: Duration) -> ExchangeResult {
+    async fn exchange(
+        &mut self,
+        call: &Call,
+        server: &ServerId,
+        time_left: Duration,
+    ) -> ExchangeResult {
+        match self.servers.links_to(self.addr) {
+            Links::Hang => std::future::pending().await,
+            Links::Reset => return ExchangeResult::Unsent,
+            Links::Whole | Links::RefuseNew => {}
+        }
+        let (servers, addr) = (self.servers.clone(), self.addr);
+        let failed = tokio::select! {
+            result = self.exchange_on_whole_link(call, server, time_left) => return result,
+            failed = servers.until_links_fail(addr) => failed,
+        };
+        self.reusable = false;
+        match failed {
+            Links::Hang => std::future::pending().await,
+            _ => ExchangeResult::Lost(UnknownReason::ConnectionLost),
+        }
+    }
+
+    fn keep_alive_time(&self) -> Option<Duration> {
+        self.reusable.then_some(Duration::from_secs(5))
+    }
+
+    fn rate_statement(&self) -> Option<RateStatement> {
+        self.rate_statement
+    }
+}
+
+impl FakeLink {
+    async fn exchange_on_whole_link(
+        &mut self,
+        call: &Call,
+        _: &ServerId,
+        time_left: Duration,
+    ) -> ExchangeResult {
         let (mode, processing_time) = self.servers.behaviour(self.addr);
         let reused = std::mem::replace(&mut self.used, true);
         self.reusable = false;
@@ -255,14 +351,6 @@
             signature: Some(format!("{}/{}", self.addr, call.request_id).into()),
         })
     }
-
-    fn keep_alive_time(&self) -> Option<Duration> {
-        self.reusable.then_some(Duration::from_secs(5))
-    }
-
-    fn rate_statement(&self) -> Option<RateStatement> {
-        self.rate_statement
-    }
 }
 
 /// A host of the tier before fake servers: every shard has one server in [`NORTH`] and one in
@@ -373,6 +461,11 @@
                 home("home-nowhere", gather.clone(), "west"),
                 route("all", Idempotency::Idempotent, gather),
                 route("one", Idempotency::Idempotent, Target::Service(service(0))),
+                route(
+                    "split",
+                    Idempotency::Idempotent,
+                    Target::Split((0..shards.min(2)).map(|shard| (service(shard), 1.0)).collect()),
+                ),
                 route("once", Idempotency::NonIdempotent, Target::Service(service(0))),
             ],
             services: (0..shards).map(|shard| (service(shard), terms.clone())).collect(),
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -10,6 +10,7 @@
 mod fact_exchange;
 mod fake;
 mod home_regions;
+mod hosts_without_server_paths;
 mod one_way_cut_between_domains;
 mod pausing_servers;
 mod platform_outages;
