Notice the loss of the paths to servers under requests in flight

Callers saw: an idempotent request that was running when its host lost its paths, with a hedge in flight as well and no other traffic, waited for its deadline (2 s in the test).

Cause: the silence of a server was looked at once, when the request became overdue. A hedge that was sent before the loss left nothing that would look again; and a lost connection whose server did not accept a new one did not count as a failure to connect.

Change: while an overdue request waits, it is checked every 200 ms whether any server has answered since, and the connection that follows a lost one counts. A hedge waits for the check, since one at a server that can't be reached either would use up an attempt.

--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -490,7 +490,11 @@
 /// A server that only closed a connection, or is too busy to keep it, still accepts connections; one
 /// that was cut off answers nothing; one that restarts for a release is no longer in service.
 async fn on_connection_lost<B: BackendProtocol>(tier: &Tier<B>, job: &Job, record: &ServerRecord) {
+    let tried_at = tier.now();
     let connected = timeout(CRASH_CHECK_TIMEOUT, tier.backend.connect(record.addr)).await;
+    if !matches!(connected, Ok(Ok(_))) {
+        tier.on_server_unreachable(record, tried_at);
+    }
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
     if refused && tier.servers.load().may_send(&record.id) {
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::future::Either;
@@ -26,6 +27,9 @@
 use crate::process::tier::Tier;
 use crate::version::plan::Idempotency;
 
+/// How often it is checked whether other servers answer while an overdue request waits.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Sends a request to one server of a service, with retries and hedges as the route allows.
 ///
 /// An idempotent request is retried after any failure and hedged when overdue; a non-idempotent one
@@ -45,7 +49,8 @@
     let deadline = tier.clock.instant(job.deadline);
     let mut purpose = Some(Purpose::Needed);
     let mut asked = AskedHosts::new();
-    // The server that was sent to last, when, and when it will be overdue.
+    // The server that was sent to last, since when an answer of any server is awaited, and when
+    // that is checked next.
     let mut awaited: Option<(ServerId, Monotonic, Monotonic)> = None;
     loop {
         if let Some(purpose) = purpose.take() {
@@ -141,12 +146,14 @@
             }
             () = sleep_until(silent_at) => {
                 let now = tier.now();
-                if let Some((server, sent_at, _)) = awaited.take()
-                    && tier.server_paths.on_silence(now, service, &server, sent_at)
-                    && run.next_check_at().is_some()
-                {
-                    // A hedge at a server that can't be reached either would use up an attempt.
-                    run.schedule_check(now + CHECK_TIME);
+                if let Some((server, since, check_at)) = &mut awaited {
+                    *check_at = now + SILENCE_CHECK_INTERVAL;
+                    let since = std::mem::replace(since, now);
+                    let in_doubt = tier.server_paths.on_silence(now, service, server, since);
+                    if in_doubt && run.next_check_at().is_some() {
+                        // A hedge at a server that can't be reached either would use up an attempt.
+                        run.schedule_check(now + CHECK_TIME);
+                    }
                 }
             }
             () = sleep_until(next_check_at) => {
@@ -234,7 +241,7 @@
     tier: Arc<Tier<B>>,
     job: Arc<Job>,
     server: Arc<LiveServer>,
-    expected: std::time::Duration,
+    expected: Duration,
 ) -> (ServerId, Outcome<Reply>) {
     let outcome = attempt(&tier, &job, &server, expected).await;
     (server.record.id.clone(), outcome)
