Do not blame requests for crashes when no server can be reached

Callers saw: requests that were running when their host lost its paths to the servers were taken for ones that crash servers, and other hosts heard so; a second loss would have quarantined them.

Cause: after a lost connection the host connects once more, and took a refusal for a crash. A cut that resets connections and refuses new ones looks the same from the host.

Change: a refusal counts only if another server accepts a connection, one of the same service or one of another.

Test: four requests are running at a host when its links to the servers are reset; no host suspects them.

Remains: when a host has lost only the paths to one service, the servers of the others still accept, so its requests can be suspected after a loss, as after a crash.

--- a/src/process/servers/server_paths.rs
+++ b/src/process/servers/server_paths.rs
@@ -197,3 +197,24 @@
     }
     reached
 }
+
+/// Returns whether this host can reach some server besides one that refuses connections, so that the
+/// refusal is that server's own. Servers of the same service are asked first.
+pub async fn others_are_reachable<B: BackendProtocol>(
+    tier: &Tier<B>,
+    refusing: &ServerRecord,
+) -> bool {
+    let servers = tier.servers.load_full();
+    let Some(refusing) = servers.get(&refusing.id) else { return false };
+    let mut others = others(&servers, refusing).peekable();
+    if others.peek().is_none() {
+        // Nothing tells the two cases apart.
+        return true;
+    }
+    for other in others {
+        if can_reach(tier, &other.record).await {
+            return true;
+        }
+    }
+    false
+}
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use crate::process::quarantine::{Fingerprint, RunId};
 use crate::process::servers::passive_health::{AttemptEnd, PassiveHealth, ServerHealth, Ticket};
 use crate::process::servers::registry::{LiveServer, ServerRecord};
+use crate::process::servers::server_paths::others_are_reachable;
 use crate::process::tier::Tier;
 use crate::request::baseline::Baseline;
 use crate::request::server_choice::{Candidate, Purpose, pick};
@@ -497,7 +498,10 @@
     }
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
-    if refused && tier.servers.load().may_send(&record.id) {
+    if !refused || !tier.servers.load().may_send(&record.id) {
+        return;
+    }
+    if others_are_reachable(tier, record).await {
         tier.on_crash(&record.id, job.fingerprint, job.run_id(&record.id));
     }
 }
--- a/tests/tier/hosts_without_server_paths.rs
+++ b/tests/tier/hosts_without_server_paths.rs
@@ -8,7 +8,7 @@
 use quetzalpoint::process::membership::heartbeat_transport;
 use quetzalpoint::process::membership::members::Phase;
 use quetzalpoint::process::servers::server_paths;
-use quetzalpoint::request::entry::{Answer, Served};
+use quetzalpoint::request::entry::{Answer, Served, serve};
 use quetzalpoint::request::relay;
 use quetzalpoint::{NotRunReason, Outcome};
 
@@ -160,7 +160,7 @@
             let tier = hosts[0].tier.clone();
             running.push(tokio::spawn(async move {
                 let id = request.call.request_id.clone();
-                (id, quetzalpoint::request::entry::serve(&tier, request).await)
+                (id, serve(&tier, request).await)
             }));
             tokio::time::sleep(Duration::from_millis(25)).await;
         }
@@ -179,6 +179,63 @@
     }
 }
 
+/// Guards against verdicts of a host that is cut off: its requests must not be quarantined because
+/// servers seem to have crashed, and servers must not be avoided once the paths are back.
+#[tokio::test]
+async fn host_that_was_cut_off_blames_neither_requests_nor_servers() {
+    for (links, subnet) in [(Links::Hang, 41), (Links::Reset, 42)] {
+        let mut hosts = start_fleet(subnet).await;
+        for domain in [NORTH, SOUTH] {
+            let slow = Duration::from_millis(200);
+            hosts[0].servers.set_behaviour(addr(0, domain), Mode::Answers, slow);
+        }
+        // These requests are running when the paths are lost, and have not been answered before.
+        let running: Vec<_> = ["one", "once", "one", "once"]
+            .into_iter()
+            .enumerate()
+            .map(|(n, route)| {
+                let request = hosts[0].request_path(&format!("/{route}/unknown-{n}"));
+                let tier = hosts[0].tier.clone();
+                (route, tokio::spawn(async move { serve(&tier, request).await }))
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        hosts[0].servers.set_links(links, &[]);
+        for (route, request) in running {
+            let served = request.await.expect("no request panics");
+            match route {
+                "one" => assert!(is_served(&served), "{links:?}: {:?}", served.outcome),
+                _ => assert!(matches!(served.outcome, Outcome::Unknown(_)), "{links:?}: it ran"),
+            }
+        }
+        for domain in [NORTH, SOUTH] {
+            hosts[0].servers.set_behaviour(addr(0, domain), Mode::Answers, PROCESSING_TIME);
+        }
+        let until = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < until {
+            hosts[0].serve("one").await;
+            hosts[0].serve("all").await;
+        }
+        assert!(hosts[0].tier.is_cut_off(), "{links:?}");
+        assert_eq!(hosts[0].tier.phase(), Phase::Starting, "callers are directed elsewhere");
+        for host in &hosts {
+            let suspects = host.tier.quarantine().reports(host.tier.now(), true);
+            let blamed = suspects.iter().filter(|suspect| !suspect.crashes.is_empty()).count();
+            assert_eq!(blamed, 0, "{links:?}: {suspects:?}");
+        }
+        hosts[0].servers.set_links(Links::Whole, &[]);
+        let tier = hosts[0].tier.clone();
+        wait_until("the host has its paths back", || !tier.is_cut_off()).await;
+        hosts[0].servers.stats().runs.clear();
+        for _ in 0..20 {
+            let (served, took) = hosts[0].serve("one").await;
+            assert!(is_served(&served), "{links:?}: {:?}", served.outcome);
+            assert!(took < PROCESSING_TIME * 10, "{links:?}: {took:?}");
+        }
+        hosts.iter().for_each(|host| host.tier.stopped.cancel());
+    }
+}
+
 /// Guards against a service that is not served at one host because its servers, and only they, can't
 /// be reached from there.
 #[tokio::test]
