Let hosts lose their paths to servers in the soak

The soak had no fault in which one host can't reach the servers and the others can: its proxies stood before the servers, for all hosts.

A path now handles traffic like the proxy whose target it shares.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -30,24 +30,51 @@
     OneWay,
     /// Connections are closed.
     Reset,
+    /// New connections are refused; those that are open live on.
+    RefuseNew,
     /// Connections are refused, then those that are open are closed, as when a process ends.
     Refuse,
 }
 
+impl LinkMode {
+    const fn refuses(self) -> bool {
+        matches!(self, Self::Refuse | Self::RefuseNew)
+    }
+}
+
+/// How a proxy handles traffic, and where to.
+type SharedState = Arc<Mutex<(LinkMode, SocketAddr)>>;
+
 /// A proxy in front of one address; clones share its state.
 #[derive(Debug, Clone)]
 pub struct Proxy {
     /// The address on which it listens.
     pub addr: SocketAddr,
-    state: Arc<Mutex<(LinkMode, SocketAddr)>>,
+    state: SharedState,
+    /// The state of the proxy to whose target this is another path.
+    base: Option<SharedState>,
 }
 
 impl Proxy {
     /// Starts a proxy for `target` on a free port of an address.
     pub async fn start(ip: Ipv4Addr, target: SocketAddr) -> io::Result<Self> {
+        Self::start_before(ip, target, None).await
+    }
+
+    /// Starts another path to the target of a proxy. It handles traffic like that proxy, unless a
+    /// mode of its own is set.
+    pub async fn start_path(ip: Ipv4Addr, to: &Self) -> io::Result<Self> {
+        Self::start_before(ip, to.addr, Some(to.state.clone())).await
+    }
+
+    async fn start_before(
+        ip: Ipv4Addr,
+        target: SocketAddr,
+        base: Option<SharedState>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let addr = listener.local_addr()?;
-        let proxy = Self { addr, state: Arc::new(Mutex::new((LinkMode::Whole, target))) };
+        let proxy = Self { addr, state: Arc::new(Mutex::new((LinkMode::Whole, target))), base };
         tokio::spawn(proxy.clone().accept(listener));
         Ok(proxy)
     }
@@ -59,9 +86,9 @@
                     let Ok((stream, _)) = accepted else { return };
                     tokio::spawn(self.clone().forward(stream));
                 }
-                () = self.wait_while(|mode| mode != LinkMode::Refuse) => {
+                () = self.wait_while(|mode| !mode.refuses()) => {
                     drop(listener);
-                    self.wait_while(|mode| mode == LinkMode::Refuse).await;
+                    self.wait_while(LinkMode::refuses).await;
                     match TcpListener::bind(self.addr).await {
                         Ok(bound) => listener = bound,
                         Err(error) => panic!("{} can't be bound again: {error}", self.addr),
@@ -88,7 +115,10 @@
     }
 
     fn state(&self) -> (LinkMode, SocketAddr) {
-        *self.state.lock().expect("no holder of the lock panics")
+        let own = *self.state.lock().expect("no holder of the lock panics");
+        let Some(base) = &self.base else { return own };
+        let (mode, target) = *base.lock().expect("no holder of the lock panics");
+        (if own.0 == LinkMode::Whole { mode } else { own.0 }, target)
     }
 
     async fn forward(self, downstream: TcpStream) {
@@ -116,7 +146,7 @@
             let Ok(length @ 1..) = read else { return };
             loop {
                 match self.state().0 {
-                    LinkMode::Whole => break,
+                    LinkMode::Whole | LinkMode::RefuseNew => break,
                     LinkMode::Slow => {
                         tokio::time::sleep(ADDED_DELAY).await;
                         break;
