Confirm that no server can be reached before the host counts as cut off

Cause: three failures with no answer since made the verdict, and requests may have gone to servers of one failure domain only.

Change: the verdict needs the failure of a server that was picked to confirm it, of another failure domain where there is one, and always three servers.

--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -43,7 +43,7 @@
 
 /// Applies facts that a host sent when it was asked for them.
 fn on_pulled<B: BackendProtocol>(tier: &Tier<B>, host: Ipv4Addr, facts: Facts) {
-    tier.pulls().on_answer(host);
+    tier.peer_health.pulls().on_answer(host);
     tier.on_host_answered(host);
     on_facts(tier, facts);
 }
@@ -185,7 +185,7 @@
     domains.sort_unstable();
     domains.dedup();
     let now = tier.now();
-    let suspicion = tier.suspicion();
+    let suspicion = tier.peer_health.suspicion();
     for domain in domains {
         let fit = |h: &&Heartbeat| h.domain == domain && h.phase != Phase::Leaving;
         let answers = |h: &&Heartbeat| fit(h) && !suspicion.is_suspect(now, &h.ip);
@@ -225,14 +225,14 @@
     let (position, asks) =
         tier.registry(|registry| (registry.position(), registry.asks_peers(now)));
     let own = Reached { position, plan: known.plan_order() };
-    let overdue = tier.pulls().take_overdue(now);
+    let overdue = tier.peer_health.pulls().take_overdue(now);
     if let Some(pull) = overdue {
         tier.on_host_overdue(pull.host, pull.sent_at);
     }
     let own_domain = tier.domain_index(&tier.settings.domain);
     let fleet = tier.fleet.load();
     let candidates: Vec<Candidate> = {
-        let suspicion = tier.suspicion();
+        let suspicion = tier.peer_health.suspicion();
         let candidate = |h: &Heartbeat| Candidate {
             host: h.ip,
             // The changes of a host that doesn't announce epochs can't be used.
@@ -242,7 +242,7 @@
         };
         fleet.up.iter().map(candidate).collect()
     };
-    let mut pulls = tier.pulls();
+    let mut pulls = tier.peer_health.pulls();
     pulls.update(now, own, &candidates);
     if pulls.is_pending() {
         return;
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -134,7 +134,7 @@
 /// of a domain can read, all of them try, less often the more there are, and receive facts from
 /// hosts of other domains meanwhile. A host that lacks facts which no host sends it reads as well.
 fn is_reader<B: BackendProtocol>(tier: &Tier<B>) -> bool {
-    if tier.pulls().must_read(tier.now()) {
+    if tier.peer_health.pulls().must_read(tier.now()) {
         return true;
     }
     let own = tier.domain_index(&tier.settings.domain);
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -43,7 +43,7 @@
                 report_limits(&tier, &socket).await;
                 report_suspects(&tier, &socket).await;
             }
-            () = tier.suspects_changed.notified() => report_suspects(&tier, &socket).await,
+            () = tier.suspects.changed() => report_suspects(&tier, &socket).await,
             () = tier.stopped.cancelled() => return Ok(()),
         }
     }
@@ -68,7 +68,7 @@
 pub fn on_gossip<B: BackendProtocol>(tier: &Tier<B>, gossip: Gossip) -> Option<(Ipv4Addr, Gossip)> {
     if let Some(sender) = gossip.heartbeats.first() {
         tier.on_limit_reports(sender.ip, &gossip.limit_reports);
-        tier.on_suspect_reports(sender.ip, &gossip.suspect_reports);
+        tier.suspects.on_reports(tier.now(), sender.ip, &gossip.suspect_reports);
     }
     tier.members().on_gossip(tier.now(), gossip)
 }
@@ -97,7 +97,7 @@
     let before = tier.fleet.swap(Arc::new(view.clone()));
     let is_new = |host: &&Heartbeat| before.up.iter().all(|known| known.ip != host.ip);
     let new: Vec<Ipv4Addr> = view.up.iter().filter(is_new).map(|host| host.ip).collect();
-    let suspects = tier.quarantine().reports(now, true);
+    let suspects = tier.suspects.quarantine().reports(now, true);
     messages.extend(suspect_messages(tier, &new, &suspects));
     messages
 }
@@ -114,7 +114,7 @@
 
 /// Sends what changed lately about requests that may have crashed servers to all hosts.
 async fn report_suspects<B: BackendProtocol>(tier: &Tier<B>, socket: &UdpSocket) {
-    let reports = tier.quarantine().reports(tier.now(), false);
+    let reports = tier.suspects.quarantine().reports(tier.now(), false);
     let hosts: Vec<Ipv4Addr> = tier.fleet.load().up.iter().map(|host| host.ip).collect();
     for (to, gossip) in suspect_messages(tier, &hosts, &reports) {
         send(tier, socket, to, &gossip).await;
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -8,5 +8,6 @@
 pub mod members;
 pub(crate) mod membership_actor;
 pub mod pause;
+pub mod peer_health;
 pub mod seats;
 pub mod suspicion;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -15,4 +15,5 @@
 pub mod record;
 pub mod servers;
 pub mod shutdown;
+pub mod suspects;
 pub mod tier;
--- a/src/process/servers/reachability.rs
+++ b/src/process/servers/reachability.rs
@@ -30,6 +30,8 @@
 struct Scope {
     answered_at: Monotonic,
     failed: SmallVec<[ServerId; MIN_OF_ALL]>,
+    /// A server that was picked to confirm the failures of others has failed as well.
+    confirmed: bool,
     unreachable_since: Option<Monotonic>,
     probe_at: Monotonic,
     probe_interval: Duration,
@@ -41,6 +43,7 @@
         Self {
             answered_at: Monotonic::ZERO,
             failed: SmallVec::new_const(),
+            confirmed: false,
             unreachable_since: None,
             probe_at: Monotonic::ZERO,
             probe_interval: MIN_PROBE_INTERVAL,
@@ -60,7 +63,7 @@
         &mut self,
         now: Monotonic,
         server: &ServerId,
-        tried_at: Monotonic,
+        Failure { tried_at, confirms }: Failure,
         needed: usize,
     ) -> bool {
         self.used_at = now;
@@ -70,6 +73,7 @@
         if !self.failed.contains(server) && self.failed.len() < MIN_OF_ALL {
             self.failed.push(server.clone());
         }
+        self.confirmed |= confirms;
         if self.unreachable_since.is_some() || self.failed.len() < needed.max(1) {
             return false;
         }
@@ -88,6 +92,15 @@
     }
 }
 
+/// A failure to connect to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// When the connection was tried.
+    pub tried_at: Monotonic,
+    /// Whether the server was picked to confirm the failure of another one.
+    pub confirms: bool,
+}
+
 /// What one server's answer or failure changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PathChange {
@@ -136,22 +149,26 @@
         PathChange { service, all: self.all.on_answer(now) }
     }
 
-    /// Records that a connection to a server, tried at `tried_at`, could not be opened. `known` is
-    /// the number of servers of the service, and of all services.
+    /// Records that a connection to a server could not be opened. `known` is the number of servers of
+    /// the service.
+    ///
+    /// The host is cut off only once a server has failed that was picked to confirm this, since
+    /// requests may have been sent to servers of one failure domain only.
     pub fn on_failure(
         &mut self,
         now: Monotonic,
         (service, server): (&ServiceId, &ServerId),
-        tried_at: Monotonic,
-        known: (usize, usize),
+        failure: Failure,
+        known: usize,
     ) -> PathChange {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Scope::new(now));
         }
         let scope = self.services.get_mut(service).expect("it was inserted above");
-        let of_service = scope.on_failure(now, server, tried_at, known.0.min(MIN_OF_SERVICE));
-        let all = self.all.on_failure(now, server, tried_at, known.1.min(MIN_OF_ALL));
-        if !self.is_cut_off() && self.all.answered_at < tried_at {
+        let of_service = scope.on_failure(now, server, failure, known.min(MIN_OF_SERVICE));
+        let needed = if self.all.confirmed || failure.confirms { MIN_OF_ALL } else { usize::MAX };
+        let all = self.all.on_failure(now, server, failure, needed);
+        if !self.is_cut_off() && self.all.answered_at < failure.tried_at {
             self.want_check(now, server);
         }
         PathChange { service: of_service, all }
--- a/src/process/servers/reachability/tests.rs
+++ b/src/process/servers/reachability/tests.rs
@@ -13,45 +13,59 @@
     Answers(&'static str, u64),
     /// The server, its service, when the connection was tried, and when it failed.
     Fails(&'static str, &'static str, u64, u64),
+    /// The same for a server that was picked to confirm the failure of another one.
+    FailsToo(&'static str, &'static str, u64, u64),
 }
 
-use Event::{Answers, Fails};
+use Event::{Answers, Fails, FailsToo};
+
+const fn tried(millis: u64, confirms: bool) -> Failure {
+    Failure { tried_at: at(millis), confirms }
+}
 
 #[test]
 fn host_is_cut_off_only_if_several_servers_fail_and_none_answers_since() {
     struct Case {
         name: &'static str,
         events: Vec<Event>,
-        /// The number of servers of the service and of all services.
-        known: (usize, usize),
+        /// The number of servers of the service.
+        known: usize,
         service: bool,
         all: bool,
     }
-    let three = || vec![Fails("a", "s", 10, 11), Fails("b", "s", 10, 12), Fails("c", "t", 10, 13)];
+    let three =
+        || vec![Fails("a", "s", 10, 11), Fails("b", "s", 10, 12), FailsToo("c", "t", 10, 13)];
     let then = |mut events: Vec<Event>, event| {
         events.push(event);
         events
     };
     let cases = [
-        Case { name: "three fail", events: three(), known: (4, 9), service: true, all: true },
+        Case { name: "three fail", events: three(), known: 4, service: true, all: true },
+        Case {
+            name: "three fail that requests were sent to",
+            events: vec![Fails("a", "s", 10, 11), Fails("b", "s", 10, 12), Fails("c", "t", 10, 13)],
+            known: 4,
+            service: true,
+            all: false,
+        },
         Case {
             name: "one fails three times",
             events: vec![Fails("a", "s", 1, 2), Fails("a", "s", 3, 4), Fails("a", "s", 5, 6)],
-            known: (4, 9),
+            known: 4,
             service: false,
             all: false,
         },
         Case {
             name: "two of a service fail",
             events: vec![Fails("a", "s", 1, 2), Fails("b", "s", 3, 4)],
-            known: (4, 9),
+            known: 4,
             service: true,
             all: false,
         },
         Case {
             name: "the only server of a service fails",
             events: vec![Fails("a", "s", 1, 2)],
-            known: (1, 9),
+            known: 1,
             service: true,
             all: false,
         },
@@ -61,23 +75,23 @@
                 Fails("a", "s", 1, 2),
                 Answers("t", 3),
                 Fails("b", "s", 2, 4),
-                Fails("c", "u", 2, 5),
+                FailsToo("c", "u", 2, 5),
             ],
-            known: (4, 9),
+            known: 4,
             service: true,
             all: false,
         },
         Case {
             name: "another service answers afterwards",
             events: then(three(), Answers("t", 20)),
-            known: (4, 9),
+            known: 4,
             service: true,
             all: false,
         },
         Case {
             name: "the service answers afterwards",
             events: then(three(), Answers("s", 20)),
-            known: (4, 9),
+            known: 4,
             service: false,
             all: false,
         },
@@ -90,7 +104,7 @@
                 Answers("s", 7),
                 Fails("c", "s", 6, 8),
             ],
-            known: (4, 9),
+            known: 4,
             service: false,
             all: false,
         },
@@ -100,9 +114,13 @@
         for event in events {
             match event {
                 Answers(service, now) => drop(reachability.on_answer(at(now), &id(service))),
-                Fails(server, service, tried, now) => {
+                Fails(server, service, tried_at, now) => {
+                    let server = (&id(service), &id(server));
+                    reachability.on_failure(at(now), server, tried(tried_at, false), known);
+                }
+                FailsToo(server, service, tried_at, now) => {
                     let server = (&id(service), &id(server));
-                    reachability.on_failure(at(now), server, at(tried), known);
+                    reachability.on_failure(at(now), server, tried(tried_at, true), known);
                 }
             }
         }
@@ -128,7 +146,7 @@
 fn unreachable_servers_are_probed_until_one_answers() {
     let mut reachability = Reachability::default();
     for (n, server) in ["a", "b", "c"].iter().enumerate() {
-        reachability.on_failure(at(10 + n as u64), (&id("s"), &id(server)), at(5), (4, 9));
+        reachability.on_failure(at(10 + n as u64), (&id("s"), &id(server)), tried(5, true), 4);
     }
     reachability.take_probes(at(13));
     let probed: Vec<u64> = (14..4_000)
--- a/src/process/servers/server_paths.rs
+++ b/src/process/servers/server_paths.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::reachability::{PathChange, Probe, Reachability};
+use super::reachability::{Failure, PathChange, Probe, Reachability};
 use super::registry::{LiveServer, ServerRecord, ServerView};
 use crate::clock::Monotonic;
 use crate::connection::exchange::BackendProtocol;
@@ -46,18 +46,18 @@
         all
     }
 
-    /// Records that a connection to a server, tried at `tried_at`, could not be opened; returns
-    /// whether this host is now cut off.
+    /// Records that a connection to a server could not be opened; returns whether this host is now
+    /// cut off.
     pub fn on_failure(
         &self,
         now: Monotonic,
         record: &ServerRecord,
-        tried_at: Monotonic,
+        failure: Failure,
         servers: &ServerView,
     ) -> bool {
-        let known = (servers.of(&record.service).len(), servers.len());
+        let known = servers.of(&record.service).len();
         let server = (&record.service, &record.id);
-        let change = self.lock().on_failure(now, server, tried_at, known);
+        let change = self.lock().on_failure(now, server, failure, known);
         self.checks_wanted.notify_one();
         if change.all {
             tracing::warn!(
@@ -173,16 +173,20 @@
     }
 }
 
-/// Returns a server of the same service and one of another service, as far as there are any.
+/// Returns a server of the same service and one of another service, as far as there are any, from
+/// other failure domains if possible.
 fn others<'a>(
     servers: &'a ServerView,
     server: &LiveServer,
 ) -> impl Iterator<Item = &'a Arc<LiveServer>> + use<'a> {
     let ServerRecord { id, service, .. } = &server.record;
-    let same = servers.of(service).iter().filter(|other| other.record.id != *id);
-    let others = servers.iter().filter(|other| other.record.service != *service);
-    let same = same.choose(&mut rand::rng());
-    same.into_iter().chain(others.choose(&mut rand::rng()))
+    let is_far = |other: &&Arc<LiveServer>| other.record.domain != server.record.domain;
+    let same = || servers.of(service).iter().filter(|other| other.record.id != *id);
+    let of_others = || servers.iter().filter(|other| other.record.service != *service);
+    let mut rng = rand::rng();
+    let same = same().filter(is_far).choose(&mut rng).or_else(|| same().choose(&mut rng));
+    let other = of_others().filter(is_far).choose(&mut rng);
+    same.into_iter().chain(other.or_else(|| of_others().choose(&mut rng)))
 }
 
 /// Opens a connection to a server and records whether it could be reached.
@@ -193,7 +197,7 @@
     if reached {
         tier.on_server_reached(&record.service);
     } else {
-        tier.on_server_unreachable(record, tried_at);
+        tier.on_server_unreachable(record, Failure { tried_at, confirms: true });
     }
     reached
 }
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -8,34 +8,32 @@
 
 use arc_swap::ArcSwap;
 use smallvec::SmallVec;
-use smol_str::format_smolstr;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
 use super::budgets::retry_schedule::RetrySchedule;
 use super::budgets::usual_timeout::UsualTimeouts;
-use super::configuration::pull_schedule::PullSchedule;
-use super::membership::domain_paths::DomainPaths;
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
+use super::membership::peer_health::PeerHealth;
 use super::metrics::Metrics;
-use super::quarantine::{Fingerprint, Quarantine, RunId, SuspectChange, SuspectReport};
 use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
 use super::servers::passive_health::PassiveHealth;
 use super::servers::rate_limit::{LimitChange, LimitReport, RateLimits};
+use super::servers::reachability::Failure;
 use super::servers::registry::{
     Change, EpochChange, LiveServer, Registry, ServerRecord, ServerView,
 };
 use super::servers::server_paths::ServerPaths;
 use super::servers::split::WeightedRoundRobin;
-use crate::clock::{Clock, Monotonic, millis};
+use super::suspects::Suspects;
+use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::{BackendProtocol, RateStatement};
 use crate::connection::peer_frame::Facts;
 use crate::connection::peer_links::PeerLinks;
 use crate::connection::server_pool::ServerPool;
 use crate::ids::{ConfigVersion, DomainId, RegionId, ServerId, ServiceId};
 use crate::position::{Epochs, Position};
-use crate::process::membership::suspicion::Suspicion;
 use crate::version::plan::{ConnectionSharers, Plan, Route, Target};
 
 /// The passive health of a server is dropped when it has not been used for this long.
@@ -100,9 +98,9 @@
     pub stop_accepting: CancellationToken,
     /// Cancelled once the host stops.
     pub stopped: CancellationToken,
-    /// Notified when other hosts must learn of a request that may have crashed a server.
-    pub(crate) suspects_changed: Notify,
-    pub(crate) metrics: Metrics,
+    /// The requests that may have crashed servers.
+    pub suspects: Suspects,
+    pub(crate) metrics: Arc<Metrics>,
     received_facts: Mutex<Option<mpsc::UnboundedReceiver<(Ipv4Addr, Facts)>>>,
     domains: HashMap<DomainId, DomainIndex>,
     registry: Mutex<Registry>,
@@ -111,12 +109,10 @@
     cold_rate_limiter: Mutex<ColdRateLimiter>,
     rate_limits: Mutex<RateLimits>,
     retry_schedule: Mutex<RetrySchedule>,
-    quarantine: Mutex<Quarantine>,
-    suspicion: Mutex<Suspicion<Ipv4Addr>>,
+    /// What this host believes of other hosts.
+    pub peer_health: PeerHealth,
     /// The paths to backend servers.
     pub server_paths: ServerPaths,
-    paths: Mutex<DomainPaths>,
-    pulls: Mutex<PullSchedule>,
     extra: Mutex<ExtraAttemptBudget>,
     split: Mutex<WeightedRoundRobin>,
     usual_timeouts: Mutex<UsualTimeouts>,
@@ -127,6 +123,7 @@
     /// Creates the state without a plan, servers or other hosts.
     pub fn new(settings: TierSettings, backend: B) -> Self {
         let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new());
         let (facts, received_facts) = mpsc::unbounded_channel();
         let index = |domain: &DomainId| (domain.clone(), settings.domain_index(domain));
         let domains: HashMap<_, _> = settings.domains.keys().map(index).collect();
@@ -160,17 +157,14 @@
             leaving: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
             stopped: CancellationToken::new(),
-            suspects_changed: Notify::new(),
-            metrics: Metrics::new(),
+            suspects: Suspects::new(metrics.clone()),
+            metrics,
             domains,
             passive_health: Mutex::default(),
             cold_rate_limiter: Mutex::default(),
             retry_schedule: Mutex::default(),
-            quarantine: Mutex::default(),
-            suspicion: Mutex::default(),
+            peer_health: PeerHealth::default(),
             server_paths: ServerPaths::default(),
-            paths: Mutex::default(),
-            pulls: Mutex::default(),
             split: Mutex::default(),
             usual_timeouts: Mutex::default(),
             running: AtomicU32::new(0),
@@ -292,72 +286,6 @@
         tracing::info!(%server, from, to, source, "rate limit of a server changed");
     }
 
-    /// Locks and returns the requests that may have crashed servers.
-    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine.lock().expect("no holder of the lock panics")
-    }
-
-    /// Handles the crash of a server while a request was running.
-    pub fn on_crash(&self, server: &ServerId, fingerprint: Fingerprint, run: RunId) {
-        let change = self.quarantine().on_crash(self.now(), server, fingerprint, run);
-        self.on_suspect_change(fingerprint, change, server);
-        if change.is_some() {
-            self.suspects_changed.notify_one();
-        }
-    }
-
-    /// Handles a server's reply to a request.
-    pub fn on_answered(&self, server: &ServerId, fingerprint: Fingerprint) {
-        let change = self.quarantine().on_answered(self.now(), fingerprint);
-        self.on_suspect_change(fingerprint, change, server);
-        if change.is_some() {
-            self.suspects_changed.notify_one();
-        }
-    }
-
-    /// Begins the run of a suspect, if the request is one.
-    pub fn begin_trial(&self, fingerprint: Fingerprint) -> bool {
-        let begun = self.quarantine().begin_trial(self.now(), fingerprint);
-        if begun {
-            self.suspects_changed.notify_one();
-        }
-        begun
-    }
-
-    /// Handles reports of another host about requests that may have crashed servers.
-    pub fn on_suspect_reports(&self, from: Ipv4Addr, reports: &[SuspectReport]) {
-        let now = self.now();
-        for report in reports {
-            let change = self.quarantine().on_report(now, report);
-            self.on_suspect_change(report.fingerprint, change, &from);
-        }
-    }
-
-    fn on_suspect_change(
-        &self,
-        fingerprint: Fingerprint,
-        change: Option<SuspectChange>,
-        source: &dyn std::fmt::Display,
-    ) {
-        let fingerprint = format_smolstr!("{fingerprint:016x}");
-        match change {
-            None => {}
-            Some(SuspectChange::Suspected) => {
-                tracing::info!(%fingerprint, %source, "server crashed while it ran a request");
-            }
-            Some(SuspectChange::Quarantined(left)) => {
-                self.metrics.quarantine();
-                let for_ms = millis(left);
-                tracing::warn!(
-                    %fingerprint, %source, for_ms, "request quarantined: servers crash that run it"
-                );
-            }
-            Some(SuspectChange::Cleared) => {
-                tracing::info!(%fingerprint, %source, "request answered; it is no suspect");
-            }
-        }
-    }
-
     /// Returns the reports of this host's use of limited servers, by the host that needs them: the
     /// hosts in the server's failure domain, and those that use the server as well.
     pub fn limit_reports(&self) -> Vec<(Ipv4Addr, Vec<LimitReport>)> {
@@ -460,7 +388,7 @@
     ) -> Option<Ipv4Addr> {
         let now = self.now();
         let fleet = self.fleet.load();
-        let suspicion = self.suspicion();
+        let suspicion = self.peer_health.suspicion();
         let fit = |h: &&Heartbeat| h.version == version && !suspicion.is_suspect(now, &h.ip);
         let cost = |h: &Heartbeat| {
             let calls = self.peers.in_flight(h.ip) as f64 + 1.0 + rand::random::<f64>();
@@ -476,7 +404,8 @@
     /// that was already suspected, with no message from it since, is closed and opened anew: the
     /// old one may be dead without an error.
     pub fn on_host_overdue(&self, host: Ipv4Addr, sent_at: Monotonic) {
-        let newly = self.suspicion().on_overdue(self.now(), &host, sent_at);
+        let now = self.now();
+        let newly = self.peer_health.suspicion().on_overdue(now, &host, sent_at);
         if newly {
             tracing::info!(%host, "call timed out; requests go to other hosts");
         } else {
@@ -490,7 +419,7 @@
 
     /// Handles a message from a host in answer to a call.
     pub fn on_host_answered(&self, host: Ipv4Addr) {
-        self.suspicion().on_message(self.now(), &host);
+        self.peer_health.suspicion().on_message(self.now(), &host);
         let fleet = self.fleet.load();
         if let Some(heartbeat) = fleet.up.iter().find(|heartbeat| heartbeat.ip == host) {
             self.on_domain_answered(heartbeat.domain);
@@ -499,19 +428,19 @@
 
     /// Records that a host or server in a failure domain has not answered what was sent to it.
     pub fn on_domain_silent(&self, domain: DomainIndex, peer: &str, sent_at: Monotonic) {
-        if domain == self.domain_index(&self.settings.domain) {
-            return;
-        }
-        if self.paths().on_silence(self.now(), domain, peer, sent_at) {
-            tracing::info!(domain, peer, "failure domain is not reachable from here");
+        if domain != self.domain_index(&self.settings.domain) {
+            self.peer_health.on_domain_silent(self.now(), domain, peer, sent_at);
         }
     }
 
     /// Records an answer of a host or server in a failure domain.
     pub fn on_domain_answered(&self, domain: DomainIndex) {
-        if self.paths().on_answer(self.now(), domain) {
-            tracing::info!(domain, "failure domain is reachable again");
-        }
+        self.peer_health.on_domain_answered(self.now(), domain);
+    }
+
+    /// Returns the failure domains that this host can't reach at present.
+    pub fn unreachable_domains(&self) -> SmallVec<[DomainIndex; 4]> {
+        self.peer_health.paths().unreachable(self.now())
     }
 
     /// Records that a server of a service has answered or accepted a connection. The failures of
@@ -523,26 +452,21 @@
         }
     }
 
-    /// Records that a connection to a server, tried at `tried_at`, could not be opened.
-    pub fn on_server_unreachable(&self, record: &ServerRecord, tried_at: Monotonic) {
+    /// Records that a connection to a server could not be opened.
+    pub fn on_server_unreachable(&self, record: &ServerRecord, failure: Failure) {
         let servers = self.servers.load();
-        if self.server_paths.on_failure(self.now(), record, tried_at, &servers) {
+        if self.server_paths.on_failure(self.now(), record, failure, &servers) {
             self.metrics.cut_off();
         }
     }
 
-    /// Returns the failure domains that this host can't reach at present.
-    pub fn unreachable_domains(&self) -> SmallVec<[DomainIndex; 4]> {
-        self.paths().unreachable(self.now())
-    }
-
     /// Returns whether this host can't reach enough servers for some route, although the servers are
     /// in service: callers are better served by another host.
     pub fn is_cut_off(&self) -> bool {
         if self.server_paths.is_cut_off() {
             return true;
         }
-        let paths = self.paths();
+        let paths = self.peer_health.paths();
         if !paths.any_doubtful() {
             return false;
         }
@@ -562,25 +486,11 @@
         })
     }
 
-    fn paths(&self) -> MutexGuard<'_, DomainPaths> {
-        self.paths.lock().expect("no holder of the lock panics")
-    }
-
     /// Takes the receiver of facts that other hosts send; returns `None` after the first call.
     pub(crate) fn take_received_facts(&self) -> Option<mpsc::UnboundedReceiver<(Ipv4Addr, Facts)>> {
         self.received_facts.lock().expect("no holder of the lock panics").take()
     }
 
-    /// Locks and returns the facts that this host lacks and has asked other hosts for.
-    pub(crate) fn pulls(&self) -> MutexGuard<'_, PullSchedule> {
-        self.pulls.lock().expect("no holder of the lock panics")
-    }
-
-    /// Locks and returns the failure detector, which knows the hosts that have not answered lately.
-    pub fn suspicion(&self) -> MutexGuard<'_, Suspicion<Ipv4Addr>> {
-        self.suspicion.lock().expect("no holder of the lock panics")
-    }
-
     /// Locks and returns the membership of the fleet.
     pub fn members(&self) -> MutexGuard<'_, Members> {
         self.members.lock().expect("no holder of the lock panics")
@@ -727,7 +637,7 @@
         };
         self.metrics.rate_limited_servers(limited as u64);
         let quarantined = {
-            let mut quarantine = self.quarantine();
+            let mut quarantine = self.suspects.quarantine();
             quarantine.evict(now);
             quarantine.quarantined(now)
         };
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -17,6 +17,7 @@
 use crate::position::PlanOrder;
 use crate::process::quarantine::{Fingerprint, RunId};
 use crate::process::servers::passive_health::{AttemptEnd, PassiveHealth, ServerHealth, Ticket};
+use crate::process::servers::reachability::Failure;
 use crate::process::servers::registry::{LiveServer, ServerRecord};
 use crate::process::servers::server_paths::others_are_reachable;
 use crate::process::tier::Tier;
@@ -100,7 +101,7 @@
     pub fn may_send_again<B: BackendProtocol>(&self, tier: &Tier<B>) -> bool {
         let now = tier.now();
         let allowed = {
-            let quarantine = tier.quarantine();
+            let quarantine = tier.suspects.quarantine();
             if !quarantine.is_suspect(self.fingerprint) {
                 return true;
             }
@@ -118,7 +119,7 @@
 
     /// Announces the run of the request to the other hosts if it is a suspect.
     pub fn begin_trial<B: BackendProtocol>(&self, tier: &Tier<B>) {
-        if tier.begin_trial(self.fingerprint) {
+        if tier.suspects.begin_trial(tier.now(), self.fingerprint) {
             self.in_trial.store(true, Ordering::Relaxed);
         }
     }
@@ -426,7 +427,7 @@
             ExchangeResult::Reply(reply) => {
                 // Other shards may still crash their servers.
                 if !matches!(job.route.target, Target::Gather(_)) {
-                    tier.on_answered(id, job.fingerprint);
+                    tier.suspects.on_answered(tier.now(), id, job.fingerprint);
                 }
                 Outcome::Answered(reply)
             }
@@ -475,14 +476,14 @@
 
 impl<'a, B: BackendProtocol> RunningGuard<'a, B> {
     fn new(tier: &'a Tier<B>, server: &'a ServerId, fingerprint: Fingerprint) -> Self {
-        tier.quarantine().on_sent(server, fingerprint);
+        tier.suspects.quarantine().on_sent(server, fingerprint);
         Self { tier, server, fingerprint }
     }
 }
 
 impl<B: BackendProtocol> Drop for RunningGuard<'_, B> {
     fn drop(&mut self) {
-        self.tier.quarantine().on_ended(self.server, self.fingerprint);
+        self.tier.suspects.quarantine().on_ended(self.server, self.fingerprint);
     }
 }
 
@@ -494,7 +495,7 @@
     let tried_at = tier.now();
     let connected = timeout(CRASH_CHECK_TIMEOUT, tier.backend.connect(record.addr)).await;
     if !matches!(connected, Ok(Ok(_))) {
-        tier.on_server_unreachable(record, tried_at);
+        tier.on_server_unreachable(record, Failure { tried_at, confirms: false });
     }
     let refused =
         matches!(&connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
@@ -502,7 +503,7 @@
         return;
     }
     if others_are_reachable(tier, record).await {
-        tier.on_crash(&record.id, job.fingerprint, job.run_id(&record.id));
+        tier.suspects.on_crash(tier.now(), &record.id, job.fingerprint, job.run_id(&record.id));
     }
 }
 
@@ -532,6 +533,7 @@
         return Err(NotRunReason::Overloaded);
     };
     let began_at = tier.now();
+    let failure = Failure { tried_at: began_at, confirms: false };
     let left = job.deadline.saturating_sub(began_at).min(CONNECT_TIMEOUT);
     let connected = tokio::select! {
         connected = timeout(left, tier.backend.connect(record.addr)) => connected,
@@ -542,14 +544,14 @@
     match connected {
         Ok(Ok(link)) => Ok((link, slot)),
         Ok(Err(error)) => {
-            tier.on_server_unreachable(record, began_at);
+            tier.on_server_unreachable(record, failure);
             tracing::debug!(
                 server = %record.id, addr = %record.addr, %error, "failed to connect to a server"
             );
             Err(NotRunReason::Unreachable)
         }
         Err(_) => {
-            tier.on_server_unreachable(record, began_at);
+            tier.on_server_unreachable(record, failure);
             tier.on_domain_silent(tier.domain_index(&record.domain), &record.id, began_at);
             Err(NotRunReason::Unreachable)
         }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -107,7 +107,7 @@
         return Served::of(Outcome::Answered(Answer::NoRoute));
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at, plan.order()));
-    let admission = tier.quarantine().check(began_at, job.fingerprint);
+    let admission = tier.suspects.quarantine().check(began_at, job.fingerprint);
     if let Err(Refusal { retry_after }) = admission {
         let outcome = Outcome::NotRun(NotRunReason::Quarantined);
         log_end(tier, &job, &outcome, began_at, plan.version);
@@ -116,7 +116,7 @@
     job.begin_trial(tier);
     let outcome = run(tier, &job, None, plan.version).await;
     if job.in_trial.load(Ordering::Relaxed) {
-        tier.quarantine().end_trial(job.fingerprint);
+        tier.suspects.quarantine().end_trial(job.fingerprint);
     }
     log_end(tier, &job, &outcome, began_at, plan.version);
     if matches!(outcome, Outcome::NotRun(NotRunReason::Unreachable)) && tier.is_cut_off() {
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -56,7 +56,7 @@
     }
     let now = tier.now();
     let fleet = tier.fleet.load();
-    let suspicion = tier.suspicion();
+    let suspicion = tier.peer_health.suspicion();
     let unreachable = tier.unreachable_domains();
     let fit = |host: &&Heartbeat| {
         let domain = tier.settings.domains.keys().nth(usize::from(host.domain));
@@ -221,10 +221,10 @@
         return Outcome::NotRun(NotRunReason::VersionGone);
     };
     let fingerprint = request.fingerprint();
-    if tier.quarantine().is_quarantined(began_at, fingerprint) {
+    if tier.suspects.quarantine().is_quarantined(began_at, fingerprint) {
         return Outcome::NotRun(NotRunReason::Quarantined);
     }
-    let in_trial = tier.quarantine().is_suspect(fingerprint);
+    let in_trial = tier.suspects.quarantine().is_suspect(fingerprint);
     let after = |ms: u32| began_at + Duration::from_millis(u64::from(ms));
     let job = Arc::new(Job {
         fingerprint,
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -180,8 +180,9 @@
             records: TopRecords::new(keep),
         };
         let request = call.request.into_call();
-        let quarantined =
-            |request: &Call| tier.quarantine().is_quarantined(began_at, request.fingerprint());
+        let quarantined = |request: &Call| {
+            tier.suspects.quarantine().is_quarantined(began_at, request.fingerprint())
+        };
         if request.as_ref().is_some_and(quarantined) {
             for shard in &call.shards {
                 relayed.decline(*shard, Purpose::Needed);
@@ -202,7 +203,7 @@
         };
         let deadline = began_at + Duration::from_millis(u64::from(call.left_ms));
         let fingerprint = request.fingerprint();
-        let in_trial = tier.quarantine().is_suspect(fingerprint);
+        let in_trial = tier.suspects.quarantine().is_suspect(fingerprint);
         let job = Arc::new(Job {
             fingerprint,
             in_trial: AtomicBool::new(in_trial),
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -421,7 +421,7 @@
             self.tier.extra().refund(self.tier.now(), &self.shards[shard]);
         }
         let crashed = failure == Outcome::Unknown(UnknownReason::ConnectionLost)
-            && self.tier.quarantine().is_suspect(self.job.fingerprint);
+            && self.tier.suspects.quarantine().is_suspect(self.job.fingerprint);
         match run.on_failure(self.tier.now(), server, failure, self.job.route.attempts) {
             Next::Retry if crashed => {
                 // One more server shows whether the request is the cause. Without this limit, it
@@ -544,7 +544,11 @@
         let all_sent_answered =
             self.runs.iter().all(|run| run.is_answered() || !run.may_have_run());
         if covered > 0 && all_sent_answered {
-            self.tier.on_answered(&SmolStr::new_static("all shards"), self.job.fingerprint);
+            self.tier.suspects.on_answered(
+                self.tier.now(),
+                &SmolStr::new_static("all shards"),
+                self.job.fingerprint,
+            );
         }
         if covered >= needed {
             let (signatures, records) = self.parts.finish(self.record_count);
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -136,7 +136,7 @@
                     break;
                 }
                 awaited = None;
-                if next == Next::Retry && tier.quarantine().is_suspect(job.fingerprint) {
+                if next == Next::Retry && tier.suspects.quarantine().is_suspect(job.fingerprint) {
                     run.schedule_check(tier.now() + CRASH_SETTLE_TIME);
                 } else if next == Next::Retry {
                     purpose = Some(Purpose::Needed);
--- a/tests/tier/hosts_without_server_paths.rs
+++ b/tests/tier/hosts_without_server_paths.rs
@@ -219,7 +219,7 @@
         assert!(hosts[0].tier.is_cut_off(), "{links:?}");
         assert_eq!(hosts[0].tier.phase(), Phase::Starting, "callers are directed elsewhere");
         for host in &hosts {
-            let suspects = host.tier.quarantine().reports(host.tier.now(), true);
+            let suspects = host.tier.suspects.quarantine().reports(host.tier.now(), true);
             let blamed = suspects.iter().filter(|suspect| !suspect.crashes.is_empty()).count();
             assert_eq!(blamed, 0, "{links:?}: {suspects:?}");
         }
