Forward gathers only for lost paths, and keep their outcome true

Found by reading the diff: a gather that ended for any lost connection, or for a lack of capacity, was sent whole to another host, which doubles the load when it is highest, and spent extra attempts even if no host could be asked; and after servers may have run it, a refusal by the other host was passed on as "not run".

Cause: the loop asked what had happened, not whether this host had lost its paths.

Change: only a host that is cut off, from servers or from too many domains, lets another one gather; the budget is taken when there is a host to ask; a gather that may have run ends as unknown.

Also tests that forwarded requests, their answers and announced loads round trip, and that the build before reads messages with loads.

--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -5,11 +5,13 @@
 use smallvec::smallvec;
 
 use super::{
-    Call, CallId, Facts, FactsExtension, ForwardedRequest, Frame, Known, RelayCall, RelayParts,
-    decode, encode,
+    Call, CallId, Facts, FactsExtension, ForwardAnswer, ForwardCall, ForwardReply,
+    ForwardedRequest, Frame, Known, RelayCall, RelayParts, decode, decode_headers, encode,
+    encode_headers,
 };
 use crate::ids::{ConfigVersion, Revision};
-use crate::position::Epochs;
+use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::position::{Epochs, PlanOrder};
 use crate::process::servers::registry::{Change, Fact};
 use crate::process::servers::withheld::{Withheld, WithheldSubject};
 use crate::version::plan::PlanDocument;
@@ -153,6 +155,36 @@
     assert_eq!((arrived.body, arrived.request_id), (sent.body, sent.request_id));
 }
 
+#[test]
+fn forwarded_request_and_its_answer_round_trip_unchanged() {
+    let forward = Frame::Forward(ForwardCall {
+        id: 7,
+        plan: PlanOrder { series: 1, version: 3 },
+        service: Some("s".into()),
+        attempts_made: 1,
+        left_ms: 250,
+        target_left_ms: 90,
+        request: ForwardedRequest::from(&call()),
+    });
+    let reply =
+        |outcome, more| Frame::Forwarded(ForwardReply { id: 7, outcome, body: vec![1, 2], more });
+    let headers = encode_headers(&call().headers);
+    assert_eq!(decode_headers(headers.clone()), Some(call().headers));
+    let signature = Some("x".into());
+    let answer = ForwardAnswer::Reply { status: 200, headers, signature };
+    let gathered = ForwardAnswer::Gathered { signatures: vec!["x".into()], missing: 2 };
+    let frames = [
+        forward,
+        reply(Outcome::Answered(answer), true),
+        reply(Outcome::Answered(gathered), false),
+        reply(Outcome::NotRun(NotRunReason::RateLimited), false),
+        reply(Outcome::Unknown(UnknownReason::ConnectionLost), false),
+    ];
+    for frame in frames {
+        assert_eq!(decode(&encode(&frame)), Some(frame));
+    }
+}
+
 #[test]
 fn invalid_frame_is_not_decoded() {
     assert_eq!(decode(&[250, 1, 2]), None);
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -49,9 +49,10 @@
         NotReady,
         /// The request is invalid.
         BadRequest,
-        /// The backend servers' rate limits allow no request at present. Never sent to other hosts.
+        /// The backend servers' rate limits allow no request at present. Sent to other hosts only in
+        /// answers to forwarded requests, as builds before these don't know it.
         RateLimited,
-        /// The request has crashed servers that ran it. Never sent to other hosts.
+        /// The request has crashed servers that ran it. Sent to other hosts like the one before.
         Quarantined,
     }
 
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -313,6 +313,28 @@
     }
 }
 
+// Hosts of the build before reports would not read messages with loads, or the other way round.
+#[test]
+fn loads_round_trip_and_do_not_keep_older_builds_from_reading_a_message() {
+    for (epochs, loads) in [
+        (vec![NEW], vec![Some(0)]),
+        (vec![NEW, OLD, NEW], vec![Some(7), None, Some(u16::MAX)]),
+        (vec![None, None], vec![None, Some(3)]),
+    ] {
+        let mut sent = gossip(&epochs);
+        sent.heartbeats.iter_mut().zip(&loads).for_each(|(h, load)| h.load = *load);
+        let bytes = sent.encode();
+        assert_eq!(Gossip::decode(&bytes), Some(sent.clone()), "{loads:?}");
+        let read = postcard::from_bytes::<OldGossip>(&bytes);
+        assert_eq!(read, Ok(OldGossip::from(&sent)), "{loads:?}");
+        // What the build before reads after the epochs.
+        let (_, rest) = postcard::take_from_bytes::<OldGossip>(&bytes).expect("it is readable");
+        let (_, rest) = postcard::take_from_bytes::<GossipExtension>(rest).expect("it follows");
+        let reports = postcard::from_bytes::<(Vec<LimitReport>, Vec<SuspectReport>)>(rest);
+        assert_eq!(reports, Ok((Vec::new(), Vec::new())), "{loads:?}");
+    }
+}
+
 // An extension in the middle of a message would shift what older builds read after it.
 #[test]
 fn epochs_do_not_change_the_bytes_of_the_base_gossip() {
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -166,37 +166,46 @@
         || job.origin == Origin::Caller && choose_host(tier, job, &asked).is_none() && has_relays();
     if !is_cut_off || by_relays() {
         outcome = scatter(tier, job, rule, version).await.map(Answer::Gathered);
+        let is_lost = matches!(
+            outcome,
+            Outcome::NotRun(NotRunReason::Unreachable)
+                | Outcome::Unknown(UnknownReason::ConnectionLost)
+        );
+        if !is_lost || !tier.is_cut_off() {
+            return outcome;
+        }
     }
-    while may_gather_elsewhere(tier, rule, &outcome)
-        && let Some(host) = choose_host(tier, job, &asked)
-    {
+    let mut may_have_run = false;
+    loop {
+        match outcome {
+            Outcome::NotRun(
+                NotRunReason::Unreachable
+                | NotRunReason::Overloaded
+                | NotRunReason::NotReady
+                | NotRunReason::VersionGone,
+            ) => {}
+            Outcome::Unknown(UnknownReason::ConnectionLost) => may_have_run = true,
+            Outcome::NotRun(_) | Outcome::Unknown(_) | Outcome::Answered(_) => break,
+        }
+        let Some(host) = choose_host(tier, job, &asked) else { break };
+        if may_have_run && !take_repeat_from_budget(tier, rule) {
+            break;
+        }
         asked.push(host);
         outcome = forward(tier, job, host, None, 0).await;
     }
+    if may_have_run && outcome.is_not_run() {
+        return Outcome::Unknown(UnknownReason::ConnectionLost);
+    }
     outcome
 }
 
-/// Tells whether another host may gather the parts after this outcome. If servers may have run the
-/// request, this takes an extra attempt at each shard out of the budget.
-fn may_gather_elsewhere<B: BackendProtocol>(
-    tier: &Tier<B>,
-    rule: &GatherRule,
-    outcome: &Outcome<Answer>,
-) -> bool {
-    match outcome {
-        Outcome::NotRun(
-            NotRunReason::Unreachable
-            | NotRunReason::Overloaded
-            | NotRunReason::NotReady
-            | NotRunReason::VersionGone,
-        ) => true,
-        Outcome::Unknown(UnknownReason::ConnectionLost) => {
-            let (now, sharing) = (tier.now(), tier.fleet.load().known_hosts);
-            let mut extra = tier.extra();
-            rule.shards.iter().all(|shard| extra.try_spend(now, shard, sharing))
-        }
-        Outcome::NotRun(_) | Outcome::Unknown(_) | Outcome::Answered(_) => false,
-    }
+/// Takes an extra attempt at each shard out of the budget, since servers may have run the request;
+/// returns whether all were available.
+fn take_repeat_from_budget<B: BackendProtocol>(tier: &Tier<B>, rule: &GatherRule) -> bool {
+    let (now, sharing) = (tier.now(), tier.fleet.load().known_hosts);
+    let mut extra = tier.extra();
+    rule.shards.iter().all(|shard| extra.try_spend(now, shard, sharing))
 }
 
 fn job<B: BackendProtocol>(
