Remove the loss of paths from the soak, whose check was wrong

Traced: all four hosts logged at 16:05:54.28, with the first restoration, that no server can be reached, also the two whose paths were whole. The soak gave each host paths of its own by other addresses of the servers in its view of the store, but hosts pass on what they read, so that each used the paths of whichever host had read them; a cut reached hosts that it was not meant for. The daemon did what it should: nobody had paths.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -68,9 +68,6 @@
     /// Number of callers that send a request which crashes servers
     #[bpaf(long, argument("N"), fallback(1))]
     crashing_callers: usize,
-    /// Number of times that a host loses its paths to all servers
-    #[bpaf(long, argument("N"), fallback(1))]
-    host_cuts: usize,
     /// Path of the daemon; by default quetzal-platform in the directory of this program
     #[bpaf(long, argument("FILE"), optional)]
     daemon: Option<PathBuf>,
@@ -119,7 +116,6 @@
     let mut planned_faults = faults::draw(seed, options.faults, length, hosts, endpoints);
     planned_faults.extend(restore::draw(seed, options.restores, length, hosts, endpoints));
     planned_faults.extend(faults::draw_rate_limits(seed, options.rate_limits, length, endpoints));
-    planned_faults.extend(faults::draw_host_cuts(seed, options.host_cuts, length, hosts));
     println!("seed {seed}: {}", summary(&planned_faults));
     let crashes = tokio::spawn(faults::play_crashes(world.clone()));
     let injections: Vec<_> = planned_faults
--- a/soak/src/periods.rs
+++ b/soak/src/periods.rs
@@ -25,11 +25,6 @@
         self.lock().iter().any(|(begin, end)| *begin <= until && end.is_none_or(|end| end >= from))
     }
 
-    /// Returns whether one period covers all of the time given.
-    pub fn covers(&self, from: Instant, until: Instant) -> bool {
-        self.lock().iter().any(|(begin, end)| *begin <= from && end.is_none_or(|end| end >= until))
-    }
-
     fn lock(&self) -> MutexGuard<'_, Vec<(Instant, Option<Instant>)>> {
         self.0.lock().expect("no holder of the lock panics")
     }
