--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -23,6 +23,7 @@
         "late-copy" => late_copy(record, trouble),
         "leaving" => leaving(record, trouble),
         "long-answer" => long_answer(record, trouble),
+        "removed" => removed(record, trouble),
         "cold" => cold(record, trouble),
         _ => Err(format!("no case {case}")),
     }
@@ -362,6 +363,91 @@
     Ok(lost > 0)
 }
 
+/// A replica's entry is removed when more than half of the hosts are killed, some time after the store
+/// was down.
+fn removed(record: &Record, trouble: bool) -> Played {
+    const DRAIN_MS: f64 = 3_000.0;
+    let (store, seen) = (Store::default(), Seen::new(record));
+    let store_addr = store.start().map_err(text)?;
+    store.put("op/config", &config(1, "idempotent", 2, 8_000, 0.0));
+    let zones = ["zone-a", "zone-b", "zone-c", "zone-d"];
+    let terms = Terms { slots: 4, queue: 16, max_conns: 100, work_ms: 20 };
+    let servers = servers(&store, &seen, 12, &terms, &zones)?;
+    let mut fleet = Fleet::new(&ZONES, store_addr)?;
+    fleet.start_all(record)?;
+    fleet.wait_ready(Duration::from_secs(10))?;
+    sleep_ms(5_000);
+    let stop = Arc::new(AtomicBool::new(false));
+    let answers = Arc::default();
+    let callers = get_callers(record, &fleet, 42, &stop, &answers);
+    sleep_ms(2_000);
+    let (mut late, mut rounds_late) = (0, 0);
+    for round in 0..4usize {
+        if trouble {
+            store.set_busy(true);
+            record.line("the store is down (503)");
+            sleep_ms(4_000);
+            store.set_busy(false);
+            record.line("the store is back");
+        }
+        sleep_ms(6_000);
+        // The hosts that read the store, one in each zone, log a change of an entry that they read.
+        let before: Vec<usize> = fleet.hosts.iter().map(|host| host.logged().len()).collect();
+        let changed = &servers[11];
+        store.put(&changed.key(), &changed.entry("ready", 0, 10 + round as u64));
+        sleep_ms(1_000);
+        let killed: Vec<usize> = (0..fleet.hosts.len())
+            .filter(|n| fleet.hosts[*n].logged()[before[*n]..].contains("\"servers changed\""))
+            .collect();
+        if trouble {
+            for n in &killed {
+                fleet.hosts[*n].kill();
+            }
+            record.line(&format!("the hosts {killed:?} are killed, which read the store"));
+        }
+        sleep_ms(50);
+        // A replica that never reports that it drains: its entry is removed, and it goes on serving.
+        let server = &servers[round];
+        store.delete(&server.key());
+        let removed_ms = record.now_ms();
+        record.line(&format!("the removal of {} is acknowledged", server.id));
+        sleep_ms(1_950);
+        if trouble {
+            for n in &killed {
+                fleet.hosts[*n].start(record)?;
+            }
+        }
+        sleep_ms(3_000);
+        let times: Vec<f64> = seen
+            .events()
+            .iter()
+            .filter(|e| e.server == server.id && e.what == What::Arrived)
+            .filter(|e| !killed.contains(&front_of(&e.request, fleet.hosts.len())))
+            .map(|e| e.at_ms - removed_ms)
+            .filter(|at| *at > 0.0)
+            .collect();
+        let after = times.iter().filter(|at| **at > DRAIN_MS).count();
+        let last = times.iter().copied().fold(0.0, f64::max);
+        record.say(&format!(
+            "round {round}: {} got {} requests from other hosts after its removal, the last one {last:.0} ms after it, \
+             {after} of them more than {DRAIN_MS:.0} ms after it",
+            server.id,
+            times.len()
+        ));
+        late += after;
+        rounds_late += usize::from(after > 0);
+        fleet.wait_ready(Duration::from_secs(10))?;
+        sleep_ms(4_000);
+    }
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let _ = caller.join();
+    }
+    drop(fleet);
+    record.say(&format!("{late} requests later than allowed, in {rounds_late} of 4 rounds"));
+    Ok(late > 0)
+}
+
 /// The replicas of a service become cold, and meanwhile all daemons are killed at once.
 fn cold(record: &Record, trouble: bool) -> Played {
     const COLD_MS: u64 = 3_000;
@@ -433,6 +519,11 @@
     Ok(worst as f64 > bound)
 }
 
+/// Returns the host to which a caller of [`get_callers`] sends a request.
+fn front_of(request: &str, hosts: usize) -> usize {
+    request[1..3].parse::<usize>().map_or(0, |caller| caller % hosts)
+}
+
 /// Callers that send idempotent requests.
 fn get_callers(
     record: &Record,
--- a/review/kit/daemon.rs
+++ b/review/kit/daemon.rs
@@ -152,6 +152,11 @@
         Ok(())
     }
 
+    /// Returns what the process has logged so far.
+    pub fn logged(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     pub fn is_ready(&self) -> bool {
         http::get(SocketAddrV4::new(self.ip, self.ports.ready), "/readyz")
             .is_some_and(|reply| reply.status() == 200)
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -23,6 +23,8 @@
     rev: u64,
     items: BTreeMap<String, Item>,
     history: Vec<(String, Item)>,
+    /// The store answers 503 to all calls.
+    busy: bool,
 }
 
 #[derive(Clone, Default)]
@@ -46,6 +48,16 @@
         self.change(key, Some(value.to_owned()));
     }
 
+    pub fn delete(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    /// Makes the store answer 503 to all calls, or ends that.
+    pub fn set_busy(&self, busy: bool) {
+        self.0.0.lock().unwrap().busy = busy;
+        self.0.1.notify_all();
+    }
+
     fn change(&self, key: &str, value: Option<String>) {
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
@@ -87,6 +99,9 @@
         };
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
+        if state.busy {
+            return ("503 Service Unavailable", "{}".to_owned());
+        }
         match path {
             "/kv-key" => match state.items.get(parameter("key")) {
                 Some(item) => {
@@ -126,6 +141,9 @@
                         .filter(fits)
                         .map(|(key, item)| json(key, item))
                         .collect();
+                    if state.busy {
+                        return ("503 Service Unavailable", "{}".to_owned());
+                    }
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         let body = format!(
