--- a/review/kit/daemon.rs
+++ b/review/kit/daemon.rs
@@ -18,7 +18,7 @@
         std::thread::sleep(limit);
         let processes = PROCESSES.lock().unwrap();
         for process in processes.iter() {
-            let _ = Command::new("kill").args(["-KILL", &process.to_string()]).status();
+            let _ = send_signal("KILL", *process);
         }
         eprintln!("the case took longer than {} s", limit.as_secs());
         std::process::exit(2);
@@ -174,12 +174,7 @@
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) -> Result<(), String> {
         let child = self.child.as_ref().ok_or("the host does not run")?;
-        let status =
-            Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
-        match status {
-            Ok(status) if status.success() => Ok(()),
-            Ok(_) | Err(_) => Err("the signal could not be sent".to_owned()),
-        }
+        send_signal(name, child.id())
     }
 
     /// Waits for the end of the process; returns whether it ended in time.
@@ -200,6 +195,15 @@
     }
 }
 
+/// Sends a signal with the shell's own command, which is there where no `kill` is installed.
+fn send_signal(name: &str, process: u32) -> Result<(), String> {
+    let status = Command::new("sh").args(["-c", &format!("kill -s {name} {process}")]).status();
+    match status {
+        Ok(status) if status.success() => Ok(()),
+        Ok(_) | Err(_) => Err("the signal could not be sent".to_owned()),
+    }
+}
+
 fn is_free(ip: Ipv4Addr, ports: &Ports) -> bool {
     let tcp = [ports.front, ports.ready, ports.control, ports.directory, ports.peers];
     tcp.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
