--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -22,6 +22,7 @@
     match case {
         "late-copy" => late_copy(record, trouble),
         "leaving" => leaving(record, trouble),
+        "long-answer" => long_answer(record, trouble),
         "cold" => cold(record, trouble),
         _ => Err(format!("no case {case}")),
     }
@@ -299,6 +300,68 @@
     Ok(lost > 0)
 }
 
+/// A host gets SIGTERM while it sends a long answer over a slow link.
+fn long_answer(record: &Record, trouble: bool) -> Played {
+    let number = |name: &str, usual: usize| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+    };
+    let (length, bytes_per_s) = (number("LENGTH", 8 << 20), number("BYTES_PER_S", 2_500_000));
+    let (store, seen) = (Store::default(), Seen::new(record));
+    let store_addr = store.start().map_err(text)?;
+    store.put("op/config", &config(1, "idempotent", 2, 8_000, 0.0));
+    let zones = ["zone-a", "zone-b", "zone-c", "zone-d"];
+    let terms = Terms { slots: 4, queue: 16, max_conns: 100, work_ms: 220 };
+    let _servers = servers(&store, &seen, 12, &terms, &zones)?;
+    let mut fleet = Fleet::new(&ZONES, store_addr)?;
+    fleet.start_all(record)?;
+    fleet.wait_ready(Duration::from_secs(10))?;
+    sleep_ms(5_000);
+    let (mut sent, mut lost) = (0, 0);
+    // The hosts are stopped and started in turn, one at a time.
+    for n in 0..5 {
+        let mut connection =
+            Connection::open(fleet.hosts[n].front(), Duration::from_secs(10)).map_err(text)?;
+        let id = format!("long-{n}");
+        let signalled_at = Instant::now();
+        if trouble {
+            fleet.hosts[n].signal("TERM")?;
+            record.line(&format!("host {} gets SIGTERM", fleet.hosts[n].name));
+        }
+        sleep_ms(1_500);
+        let path = format!("/work/big/{length}/report");
+        connection.send(&request("GET", &path, &id, 8_000, "")).map_err(text)?;
+        record.line(&format!("caller: {id} sent 1500 ms after the signal"));
+        sent += 1;
+        let answer = connection.receive_slowly(bytes_per_s);
+        let ended_ms = signalled_at.elapsed().as_secs_f64() * 1e3;
+        let ran = seen.runs().get(&id).copied().unwrap_or(0);
+        match answer {
+            Some((status, stated, arrived)) => {
+                record.say(&format!(
+                    "{id}: passed on to {ran} replicas; answered {status}, {arrived} of {stated} bytes \
+                     of the body at {ended_ms:.0} ms after the signal"
+                ));
+                lost += usize::from(arrived < stated && ran > 0);
+            }
+            None => {
+                record.say(&format!("{id}: no answer at {ended_ms:.0} ms; ran {ran} times"));
+                lost += usize::from(ran > 0);
+            }
+        }
+        drop(connection);
+        if trouble {
+            let ended = fleet.hosts[n].wait_end(Duration::from_millis(5_000));
+            record.line(&format!("host {} ended: {ended}", fleet.hosts[n].name));
+            fleet.hosts[n].kill();
+            fleet.hosts[n].start(record)?;
+            fleet.wait_ready(Duration::from_secs(10))?;
+            sleep_ms(3_000);
+        }
+    }
+    record.say(&format!("{sent} requests sent, {lost} answers cut off"));
+    Ok(lost > 0)
+}
+
 /// The replicas of a service become cold, and meanwhile all daemons are killed at once.
 fn cold(record: &Record, trouble: bool) -> Played {
     const COLD_MS: u64 = 3_000;
--- a/review/kit/http.rs
+++ b/review/kit/http.rs
@@ -70,6 +70,31 @@
         self.receive()
     }
 
+    /// Reads an answer at most at a rate, as over a slow link. Returns its status, the length of its
+    /// body as stated, and how much of it arrived before the connection ended.
+    pub fn receive_slowly(&mut self, bytes_per_s: usize) -> Option<(u16, usize, usize)> {
+        let mut head = Message::default();
+        self.reader.read_line(&mut head.first_line).ok().filter(|length| *length > 0)?;
+        loop {
+            let mut line = String::new();
+            self.reader.read_line(&mut line).ok().filter(|length| *length > 0)?;
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            head.fields.push((name.to_lowercase(), value.trim().to_owned()));
+        }
+        let stated: usize = head.field("content-length")?.parse().ok()?;
+        let mut piece = vec![0; bytes_per_s / 50];
+        let mut arrived = 0;
+        while arrived < stated {
+            std::thread::sleep(Duration::from_millis(20));
+            let most = piece.len().min(stated - arrived);
+            match self.reader.read(&mut piece[..most]) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => arrived += length,
+            }
+        }
+        Some((head.status(), stated, arrived))
+    }
+
     /// Tells whether the other side has closed the connection while it was idle.
     pub fn is_closed(&mut self) -> bool {
         if !self.reader.buffer().is_empty() {
--- a/review/kit/server.rs
+++ b/review/kit/server.rs
@@ -74,7 +74,8 @@
     pub slots: usize,
     pub queue: usize,
     pub max_conns: usize,
-    /// The working time of a request; a path that contains `/heavy/MS` takes that long instead.
+    /// The working time of a request; a path that contains `/heavy/MS` takes that long instead. A path
+    /// that contains `/big/N` gets N bytes.
     pub work_ms: u64,
 }
 
@@ -229,15 +230,13 @@
             }
             load.running += 1;
         }
-        let heavy = path
-            .split_once("/heavy/")
-            .and_then(|(_, ms)| ms.split('/').next().and_then(|ms| ms.parse().ok()));
+        let heavy = number_after(&path, "/heavy/");
         let done = if is_closed(stream) {
             // The caller left while the request was queued.
             None
         } else {
             self.seen.add(&self.id, &id, What::Ran);
-            Some(work(heavy.unwrap_or(self.terms.work_ms), until, stream))
+            Some(work(heavy.map_or(self.terms.work_ms, |ms| ms as u64), until, stream))
         };
         load.lock().unwrap().running -= 1;
         freed.notify_one();
@@ -256,13 +255,20 @@
             Worked::Done => {
                 self.seen.record.line(&format!("server {}: {id} done", self.id));
                 let stamp = format!("Response-Stamp: {}.{id}.200\r\n", self.id);
-                let body = format!("{:<64}", format!("{} {id}", self.id));
+                let length = number_after(&path, "/big/").unwrap_or(64);
+                let mut body = format!("{} {id} ", self.id);
+                body.extend(std::iter::repeat_n('.', length.saturating_sub(body.len())));
                 Some(reply("200 OK", &format!("{echo}{stamp}"), &body))
             }
         }
     }
 }
 
+/// Returns the number that follows a part of a path.
+fn number_after(path: &str, part: &str) -> Option<usize> {
+    path.split_once(part)?.1.split('/').next()?.parse().ok()
+}
+
 enum Worked {
     Done,
     Deadline,
