Log who reads the platform and why, and each failed call

Change: a line when a host starts or stops reading, with the reason and its position; a line for each failed call of a host that did not announce reading; the metrics reads_platform and platform_failed_calls. No decision changes.

--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -47,9 +47,12 @@
     // Whether the last call succeeded. A host that has not read for a while may be cut off from the
     // source, and a call that does not wait shows this sooner.
     let mut confirmed = false;
+    let mut last_reason = None;
     loop {
         whole |= lost_plan.is_due(tier.now());
-        if !whole && !is_reader(&tier) {
+        let reason = reading_reason(&tier);
+        on_reason_change(&tier, std::mem::replace(&mut last_reason, reason), reason);
+        if !whole && reason.is_none() {
             confirmed = false;
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
@@ -127,15 +130,25 @@
     Ok(update)
 }
 
-/// Returns whether this host should read: while it reads itself, it stops only for a reader in its
-/// failure domain with a lower address; otherwise it starts only if no host there reads.
+/// Why a host reads the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadingReason {
+    /// It lacks facts that no other host has sent.
+    LacksFacts,
+    /// No other host of its failure domain reads in its place.
+    NoOtherReader,
+}
+
+/// Returns why this host should read, if it should: while it reads itself, it stops only for a
+/// reader in its failure domain with a lower address; otherwise it starts only if no host there
+/// reads.
 ///
 /// A host whose reads fail says so in its heartbeat, so that the next host takes over. When no host
 /// of a domain can read, all of them try, less often the more there are, and receive facts from
 /// hosts of other domains meanwhile. A host that lacks facts which no host sends it reads as well.
-fn is_reader<B: BackendProtocol>(tier: &Tier<B>) -> bool {
+fn reading_reason<B: BackendProtocol>(tier: &Tier<B>) -> Option<ReadingReason> {
     if tier.peer_health.pulls().must_read(tier.now()) {
-        return true;
+        return Some(ReadingReason::LacksFacts);
     }
     let own = tier.domain_index(&tier.settings.domain);
     let i_read = tier.members().own_heartbeat_mut().reads;
@@ -143,7 +156,28 @@
     let before = |h: &Heartbeat| !i_read || h.ip < tier.settings.ip;
     // The facts of a host that doesn't announce epochs can't be used.
     let reads = |h: &Heartbeat| h.reads && h.epochs.is_some();
-    !fleet.up.iter().any(|h| h.domain == own && reads(h) && before(h))
+    let other = fleet.up.iter().any(|h| h.domain == own && reads(h) && before(h));
+    (!other).then_some(ReadingReason::NoOtherReader)
+}
+
+/// Logs that this host starts or stops reading the source.
+fn on_reason_change<B: BackendProtocol>(
+    tier: &Tier<B>,
+    before: Option<ReadingReason>,
+    now: Option<ReadingReason>,
+) {
+    if before == now {
+        return;
+    }
+    let Position { epoch, revision } = tier.servers.load().position;
+    let version = tier.plan.load().version;
+    match now {
+        Some(reason) => {
+            tracing::info!(?reason, version, epoch, revision, "reading the platform");
+        }
+        None => tracing::info!(version, epoch, revision, "another host reads the platform"),
+    }
+    tier.metrics.reads_platform(now.is_some());
 }
 
 fn on_source_update<B: BackendProtocol>(
@@ -229,9 +263,12 @@
     let newly_lost = std::mem::replace(&mut members.own_heartbeat_mut().reads, false);
     drop(members);
     tier.update_registry_source(Registry::on_source_lost);
+    tier.metrics.source_failure();
+    let version = tier.plan.load().version;
+    let Position { epoch, revision } = tier.servers.load().position;
     if newly_lost {
-        let version = tier.plan.load().version;
-        let Position { epoch, revision } = tier.servers.load().position;
         tracing::warn!(%error, version, epoch, revision, "the platform is lost; what is known stays");
+    } else {
+        tracing::info!(%error, version, epoch, revision, "the platform can't be read");
     }
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -29,6 +29,8 @@
     quarantines: Counter<u64>,
     quarantined_requests: Gauge<u64>,
     cut_offs: Counter<u64>,
+    reads_platform: Gauge<u64>,
+    source_failures: Counter<u64>,
     forwarded: Counter<u64>,
 }
 
@@ -107,6 +109,14 @@
                 .u64_counter("cut_offs")
                 .with_description("Times that this host lost its paths to all backend servers")
                 .build(),
+            reads_platform: meter
+                .u64_gauge("reads_platform")
+                .with_description("1 while this host reads the platform, else 0")
+                .build(),
+            source_failures: meter
+                .u64_counter("platform_failed_calls")
+                .with_description("Calls to the platform that failed")
+                .build(),
             forwarded: meter
                 .u64_counter("forwarded")
                 .with_description("Requests forwarded to other hosts, by outcome")
@@ -179,6 +189,14 @@
         self.cut_offs.add(1, &[]);
     }
 
+    pub(crate) fn reads_platform(&self, reads: bool) {
+        self.reads_platform.record(reads.into(), &[]);
+    }
+
+    pub(crate) fn source_failure(&self) {
+        self.source_failures.add(1, &[]);
+    }
+
     pub(crate) fn forwarded(&self, outcome: &'static str) {
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -15,6 +15,7 @@
 mod pausing_servers;
 mod platform_outages;
 mod rate_limits;
+mod reader_succession;
 mod refused_routes;
 mod relay_failures;
 mod restarted_servers;
--- a/tests/tier/simulated_fleet.rs
+++ b/tests/tier/simulated_fleet.rs
@@ -33,6 +33,8 @@
 /// reads everything.
 const WATCH_GRACE: Duration = Duration::from_millis(450);
 const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long a call of a host that reads takes, if nothing changes.
+const CALL_TIME: Duration = Duration::from_millis(1_100);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// The first retransmission timeout of a connection; it doubles.
 const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
@@ -72,11 +74,24 @@
     }
 }
 
+/// How servers leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Departure {
+    /// Their entries say that they are not ready any more.
+    #[default]
+    Drains,
+    /// Their entries are removed.
+    Removed,
+}
+
 /// The plans and servers that the source holds. With each revision comes a plan of that version, and
 /// the server of that number leaves.
 #[derive(Debug, Default)]
 pub struct SourceState {
     pub revision: Revision,
+    pub departure: Departure,
+    /// When each host called last.
+    last_calls: HashMap<usize, Instant>,
 }
 
 fn server(number: u64, revision: Revision, ready: bool) -> Change {
@@ -86,6 +101,16 @@
     Change { revision, fact: Fact::Server(record.id.clone(), Some(record)) }
 }
 
+fn departed(number: u64, departure: Departure) -> Change {
+    match departure {
+        Departure::Drains => server(number, number, false),
+        Departure::Removed => {
+            let id = format!("server-{number}").into();
+            Change { revision: number, fact: Fact::Server(id, None) }
+        }
+    }
+}
+
 /// The last change of a test.
 pub const LAST_REVISION: Revision = 200;
 
@@ -102,18 +127,27 @@
         network.both_ways(Node::Host(self.host), Node::Source)
     }
 
+    fn count_call(&self) {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        state.last_calls.insert(self.host, Instant::now());
+    }
+
     fn revision(&self) -> Revision {
         self.state.lock().expect("no holder of the lock panics").revision
     }
 
     fn update(&self, after: Revision, whole: bool) -> SourceUpdate {
-        let revision = self.revision();
+        let (revision, departure) = {
+            let state = self.state.lock().expect("no holder of the lock panics");
+            (state.revision, state.departure)
+        };
         let changes = if whole {
-            let draining = (2..=revision).map(|n| server(n, n, false));
+            let listed = departure == Departure::Drains;
+            let departed = (2..=revision).filter(|_| listed).map(|n| server(n, n, false));
             let ready = (revision + 1..=LAST_REVISION).map(|n| server(n, 1, true));
-            draining.chain(ready).collect()
+            departed.chain(ready).collect()
         } else {
-            ((after + 1)..=revision).map(|n| server(n, n, false)).collect()
+            ((after + 1)..=revision).map(|n| departed(n, departure)).collect()
         };
         SourceUpdate {
             changes,
@@ -130,6 +164,7 @@
 
 impl Source for HostSource {
     async fn read_all(&mut self) -> Result<SourceUpdate, SourceError> {
+        self.count_call();
         if !self.is_reachable() {
             tokio::time::sleep(READ_TIMEOUT).await;
             return Err(SourceError::Unresponsive("cut".to_owned()));
@@ -143,6 +178,7 @@
         after: Position,
         max_wait: Duration,
     ) -> Result<SourceUpdate, SourceError> {
+        self.count_call();
         let began_at = Instant::now();
         loop {
             if !self.is_reachable() {
@@ -190,6 +226,8 @@
     started_at: Instant,
     /// Since when it has run with paths to the source in both directions.
     undisturbed_since: Instant,
+    /// Whether it runs; one that was killed neither gets nor sends anything.
+    runs: bool,
 }
 
 /// A fleet, its source and the network between them.
@@ -235,13 +273,13 @@
     tokio::spawn(reader::run(tier.clone(), own_source));
     tokio::spawn(fact_exchange::run(tier.clone()));
     let now = Instant::now();
-    SimulatedHost { tier, events, started_at: now, undisturbed_since: now }
+    SimulatedHost { tier, events, started_at: now, undisturbed_since: now, runs: true }
 }
 
 impl Fleet {
     /// Starts a fleet whose hosts know the source's first revision and each other.
     pub async fn start(count: usize) -> Self {
-        let source = Arc::new(Mutex::new(SourceState { revision: 1 }));
+        let source = Arc::new(Mutex::new(SourceState { revision: 1, ..SourceState::default() }));
         let network = Arc::<Mutex<Network>>::default();
         let hosts = (0..count).map(|host| start_host(host, &source, &network)).collect();
         let mut fleet = Self {
@@ -256,10 +294,34 @@
         fleet
     }
 
-    /// Starts a host anew, without anything that it knew.
-    pub fn restart(&mut self, host: usize) {
+    /// Ends a host without notice to the others.
+    pub fn kill(&mut self, host: usize) {
         self.hosts[host].tier.stopped.cancel();
+        self.hosts[host].runs = false;
         self.connections.retain(|(from, to), _| *from != host && *to != host);
+    }
+
+    /// Cuts the paths between hosts and the source in both directions, or restores them.
+    pub fn set_source_cut(&self, hosts: impl IntoIterator<Item = usize>, cut: bool) {
+        let mut network = self.network.lock().expect("no holder of the lock panics");
+        for host in hosts {
+            let host = Node::Host(host);
+            for (from, to) in [(host, Node::Source), (Node::Source, host)] {
+                if cut { network.cut(from, to) } else { network.restore(from, to) }
+            }
+        }
+    }
+
+    /// Returns the hosts that have called the source within the time of one call.
+    pub fn readers(&self) -> Vec<usize> {
+        let state = self.source.lock().expect("no holder of the lock panics");
+        let reads = |n: &usize| state.last_calls.get(n).is_some_and(|at| at.elapsed() < CALL_TIME);
+        (0..self.hosts.len()).filter(|n| self.hosts[*n].runs).filter(reads).collect()
+    }
+
+    /// Starts a host anew, without anything that it knew.
+    pub fn restart(&mut self, host: usize) {
+        self.kill(host);
         self.hosts[host] = start_host(host, &self.source, &self.network);
     }
 
@@ -292,14 +354,15 @@
 
     fn exchange_heartbeats(&mut self) {
         let mut messages: VecDeque<(usize, Ipv4Addr, Gossip)> = VecDeque::new();
-        for (n, host) in self.hosts.iter().enumerate() {
+        for (n, host) in self.hosts.iter().enumerate().filter(|(_, host)| host.runs) {
             let due = heartbeat_transport::due_messages(&host.tier);
             messages.extend(due.into_iter().map(|(to, gossip)| (n, to, gossip)));
         }
         while let Some((from, to, gossip)) = messages.pop_front() {
             let to = index(to);
             let network = self.network.lock().expect("no holder of the lock panics");
-            let arrives = network.passes(Node::Host(from), Node::Host(to))
+            let arrives = self.hosts[to].runs
+                && network.passes(Node::Host(from), Node::Host(to))
                 && rand::random::<f64>() >= network.loss;
             drop(network);
             // What arrives has been sent as bytes.
@@ -336,7 +399,9 @@
         let mut lost = Vec::new();
         let network = self.network.lock().expect("no holder of the lock panics");
         for ((from, to), connection) in &mut self.connections {
-            let passes = network.both_ways(Node::Host(*from), Node::Host(*to));
+            let passes = network.both_ways(Node::Host(*from), Node::Host(*to))
+                && self.hosts[*from].runs
+                && self.hosts[*to].runs;
             if connection.established_at.is_none() {
                 if passes {
                     connection.established_at = Some(now);
@@ -389,7 +454,8 @@
         let now = Instant::now();
         let due = self.acknowledged.iter().rev().find(|(_, at)| now >= *at + bound);
         let Some((due, _)) = due else { return Vec::new() };
-        let in_touch = |host: &&SimulatedHost| now >= host.undisturbed_since + stable;
+        let in_touch =
+            |host: &&SimulatedHost| host.runs && now >= host.undisturbed_since + stable;
         let lacks = |host: &&SimulatedHost| {
             host.tier.plan.load().version < *due
                 || host.tier.servers.load().may_send(&format!("server-{due}"))
