--- a/tests/tier/simulated_fleet.rs
+++ b/tests/tier/simulated_fleet.rs
@@ -29,6 +29,8 @@
 pub const STEP: Duration = Duration::from_millis(10);
 /// How often hosts send the heartbeats that are due.
 const HEARTBEAT_STEP: Duration = Duration::from_millis(50);
+/// How often hosts remove expired state.
+const SWEEP_STEP: Duration = Duration::from_millis(250);
 /// How long a source may wait before a caller considers a call without changes lost, and one that
 /// reads everything.
 const WATCH_GRACE: Duration = Duration::from_millis(450);
@@ -237,6 +239,7 @@
     pub source: Arc<Mutex<SourceState>>,
     connections: BTreeMap<(usize, usize), Connection>,
     next_heartbeats_at: Instant,
+    next_sweep_at: Instant,
     /// When the source acknowledged each revision.
     pub acknowledged: Vec<(Revision, Instant)>,
 }
@@ -288,6 +291,7 @@
             source,
             connections: BTreeMap::new(),
             next_heartbeats_at: Instant::now(),
+            next_sweep_at: Instant::now(),
             acknowledged: Vec::new(),
         };
         fleet.run_for(Duration::from_secs(5)).await;
@@ -346,6 +350,10 @@
             self.next_heartbeats_at = Instant::now() + HEARTBEAT_STEP;
             self.exchange_heartbeats();
         }
+        if Instant::now() >= self.next_sweep_at {
+            self.next_sweep_at = Instant::now() + SWEEP_STEP;
+            self.hosts.iter().filter(|host| host.runs).for_each(|host| host.tier.sweep());
+        }
         self.collect_frames();
         self.deliver_frames();
         self.observe_disturbances();
@@ -454,8 +462,7 @@
         let now = Instant::now();
         let due = self.acknowledged.iter().rev().find(|(_, at)| now >= *at + bound);
         let Some((due, _)) = due else { return Vec::new() };
-        let in_touch =
-            |host: &&SimulatedHost| host.runs && now >= host.undisturbed_since + stable;
+        let in_touch = |host: &&SimulatedHost| host.runs && now >= host.undisturbed_since + stable;
         let lacks = |host: &&SimulatedHost| {
             host.tier.plan.load().version < *due
                 || host.tier.servers.load().may_send(&format!("server-{due}"))
