Count an outage of the platform as over when it answers any host

What callers saw: requests reached servers whose entries had been removed, for up to two seconds longer than the bound (DRAIN). Cause: a failed call set a flag at the host, and only its own next successful call cleared it, however much later. That call then counted as the return of the platform: entries that were removed meanwhile were taken for lapsed, kept for two seconds, and the supposed return was passed on to other hosts, which took the latest of all reports. Class: a belief that is set on one path and cleared on another. Change: SourceOutage keeps what is known of answers to any host. Heartbeats carry the age of the last answer (after the loads, where the build before ignores it); an answer to another host within 1.5 s of a failure shows that the platform was not away, and the first answer after an outage is its end. Reports of a later end are not believed if answers are known from before it.

--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -189,7 +189,7 @@
 ) {
     let now = tier.now();
     let Position { epoch, revision } = update.up_to;
-    tier.members().own_heartbeat_mut().reads = true;
+    tier.members().on_source_answer(now);
     if update.malformed_entries > 0 {
         tracing::warn!(
             entries = update.malformed_entries,
@@ -259,10 +259,9 @@
 }
 
 fn on_error<B: BackendProtocol>(tier: &Tier<B>, error: &SourceError) {
-    let mut members = tier.members();
-    let newly_lost = std::mem::replace(&mut members.own_heartbeat_mut().reads, false);
-    drop(members);
-    tier.update_registry_source(Registry::on_source_lost);
+    let now = tier.now();
+    let newly_lost = tier.members().stop_reading();
+    tier.update_registry_source(|registry| registry.on_source_lost(now));
     tier.metrics.source_failure();
     let version = tier.plan.load().version;
     let Position { epoch, revision } = tier.servers.load().position;
--- a/src/process/membership/directory/tests.rs
+++ b/src/process/membership/directory/tests.rs
@@ -16,6 +16,7 @@
         reads: true,
         load: None,
         epochs: None,
+        source_age_ms: None,
     }
 }
 
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -82,7 +82,7 @@
 /// Updates the host's view of the fleet and returns the messages that are due.
 pub fn due_messages<B: BackendProtocol>(tier: &Tier<B>) -> Vec<(Ipv4Addr, Gossip)> {
     let now = tier.now();
-    let (mut messages, view) = {
+    let (mut messages, view, peer_answered_at) = {
         let mut members = tier.members();
         let me = members.own_heartbeat_mut();
         me.phase = tier.phase();
@@ -91,8 +91,11 @@
         me.epochs = Some(tier.epochs());
         me.load = Some(u16::try_from(tier.running()).unwrap_or(u16::MAX));
         let messages = members.tick(now, &mut rand::rng());
-        (messages, members.view(now))
+        (messages, members.view(now), members.peer_answered_at())
     };
+    if let Some(at) = peer_answered_at {
+        tier.update_registry_source(|registry| registry.on_source_answered_peer(at));
+    }
     log_changes(tier, &view);
     let before = tier.fleet.swap(Arc::new(view.clone()));
     let is_new = |host: &&Heartbeat| before.up.iter().all(|known| known.ip != host.ip);
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
-use crate::clock::Monotonic;
+use crate::clock::{Monotonic, millis};
 use crate::derive::key;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
 use crate::position::{Epochs, PlanOrder, Position};
@@ -89,6 +89,11 @@
     /// serve requests for other hosts. [`Gossip::encode`] appends it to the message.
     #[serde(skip)]
     pub load: Option<u16>,
+    /// How long ago the platform last answered the host, in milliseconds, or `None` if the host does
+    /// not read or runs a build that does not announce it. [`Gossip::encode`] appends it to the
+    /// message.
+    #[serde(skip)]
+    pub source_age_ms: Option<u32>,
 }
 
 impl Heartbeat {
@@ -127,8 +132,8 @@
 }
 
 /// The epochs of a message's heartbeats, which follow the message. Builds without epochs ignore
-/// bytes after the message, builds without reports ignore bytes after the epochs, and builds without
-/// loads ignore bytes after the reports.
+/// bytes after the message, builds without reports ignore bytes after the epochs, builds without
+/// loads ignore bytes after the reports, and builds without ages ignore bytes after the loads.
 #[derive(Debug, Serialize, Deserialize)]
 struct GossipExtension {
     /// The epochs of the first heartbeat, and of all others that are not listed.
@@ -143,6 +148,12 @@
         let message = postcard::to_stdvec(self).expect("plain data always serializes");
         let has_epochs = self.heartbeats.iter().any(|heartbeat| heartbeat.epochs.is_some());
         let has_loads = self.heartbeats.iter().any(|heartbeat| heartbeat.load.is_some());
+        // Each index is followed by the age of the last answer to that host.
+        let ages: Vec<(u16, u32)> = (0..=u16::MAX)
+            .zip(&self.heartbeats)
+            .filter_map(|(index, heartbeat)| Some((index, heartbeat.source_age_ms?)))
+            .collect();
+        let has_loads = has_loads || !ages.is_empty();
         let has_reports =
             has_loads || !self.limit_reports.is_empty() || !self.suspect_reports.is_empty();
         if !has_epochs && !has_reports {
@@ -166,7 +177,8 @@
                 return Ok(message);
             }
             let loads: Vec<Option<u16>> = self.heartbeats.iter().map(|h| h.load).collect();
-            postcard::to_extend(&loads, message)
+            let message = postcard::to_extend(&loads, message)?;
+            if ages.is_empty() { Ok(message) } else { postcard::to_extend(&ages, message) }
         });
         extended.expect("plain data always serializes")
     }
@@ -182,8 +194,14 @@
             let (reports, rest) = postcard::take_from_bytes(rest).ok()?;
             (gossip.limit_reports, gossip.suspect_reports) = reports;
             if !rest.is_empty() {
-                let loads: Vec<Option<u16>> = postcard::from_bytes(rest).ok()?;
+                let (loads, rest) = postcard::take_from_bytes::<Vec<Option<u16>>>(rest).ok()?;
                 gossip.heartbeats.iter_mut().zip(loads).for_each(|(h, load)| h.load = load);
+                if !rest.is_empty() {
+                    let ages: Vec<(u16, u32)> = postcard::from_bytes(rest).ok()?;
+                    for (index, age) in ages {
+                        gossip.heartbeats.get_mut(usize::from(index))?.source_age_ms = Some(age);
+                    }
+                }
             }
         }
         for heartbeat in &mut gossip.heartbeats {
@@ -205,6 +223,22 @@
     pub received_at: Monotonic,
 }
 
+impl Member {
+    /// Returns the heartbeat as it holds now: what it says of a past event is so much longer ago.
+    fn heartbeat_at(&self, now: Monotonic) -> Heartbeat {
+        let held_ms = millis(now.saturating_sub(self.received_at));
+        let held_ms = u32::try_from(held_ms).unwrap_or(u32::MAX);
+        let source_age_ms = self.heartbeat.source_age_ms.map(|age| age.saturating_add(held_ms));
+        Heartbeat { source_age_ms, ..self.heartbeat }
+    }
+
+    /// Returns when the platform last answered the host, if it reads.
+    fn source_answered_at(&self) -> Option<Monotonic> {
+        let age = Duration::from_millis(self.heartbeat.source_age_ms?.into());
+        Some(self.received_at.saturating_sub(age))
+    }
+}
+
 /// Immutable snapshot of the fleet for the request path.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
@@ -255,6 +289,8 @@
     next_cross_domain_round: Monotonic,
     /// The phase, and whether the host reads, as last sent to all hosts that must know at once.
     announced: (Phase, bool),
+    /// When the platform last answered this host, while it reads.
+    source_answered_at: Option<Monotonic>,
 }
 
 impl Members {
@@ -267,6 +303,7 @@
             next_same_domain_round: now,
             next_cross_domain_round: now,
             announced: (me.phase, me.reads),
+            source_answered_at: None,
         };
         members.set_seeds(seeds);
         members
@@ -285,8 +322,32 @@
         &mut self.me
     }
 
+    /// Returns whether this host announces that it reads the platform.
+    pub const fn reads(&self) -> bool {
+        self.me.reads
+    }
+
+    /// Records an answer of the platform: other hosts may rely on this one to read it.
+    pub const fn on_source_answer(&mut self, now: Monotonic) {
+        self.me.reads = true;
+        self.source_answered_at = Some(now);
+    }
+
+    /// Records that this host does not read the platform, or can't; returns whether it did before.
+    pub const fn stop_reading(&mut self) -> bool {
+        self.source_answered_at = None;
+        std::mem::replace(&mut self.me.reads, false)
+    }
+
+    /// Returns when the platform last answered another host, as far as this host knows.
+    pub fn peer_answered_at(&self) -> Option<Monotonic> {
+        self.others.values().filter_map(Member::source_answered_at).max()
+    }
+
     /// Returns the gossip messages that are due, with their recipients.
     pub fn tick(&mut self, now: Monotonic, rng: &mut impl Rng) -> Vec<(Ipv4Addr, Gossip)> {
+        let age = |at| u32::try_from(millis(now.saturating_sub(at))).unwrap_or(u32::MAX);
+        self.me.source_age_ms = self.source_answered_at.map(age);
         self.others.retain(|_, member| now.saturating_sub(member.received_at) < EVICTION_TIMEOUT);
         let mut recipients: Vec<Ipv4Addr> = Vec::new();
         if now >= self.next_same_domain_round {
@@ -439,7 +500,7 @@
         let domain_rank = up.clone().filter(ranks_higher).count();
         FleetView {
             domain_rank,
-            up: up.map(|member| member.heartbeat).collect(),
+            up: up.map(|member| member.heartbeat_at(now)).collect(),
             known_hosts: self.others.len() + 1,
             known_hosts_in: known_hosts_in.into_iter().collect(),
         }
@@ -456,7 +517,7 @@
 
     fn live_heartbeats(&self, now: Monotonic) -> Vec<Heartbeat> {
         let up = self.others.values().filter(|member| self.is_up(now, member));
-        std::iter::once(self.me).chain(up.map(|member| member.heartbeat)).collect()
+        std::iter::once(self.me).chain(up.map(|member| member.heartbeat_at(now))).collect()
     }
 
     /// Raises this host's incarnation above one that other hosts remember from an earlier process.
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -32,6 +32,7 @@
         reads: true,
         load: None,
         epochs: None,
+        source_age_ms: None,
     }
 }
 
--- a/src/process/servers/mod.rs
+++ b/src/process/servers/mod.rs
@@ -12,6 +12,7 @@
 pub mod registry;
 pub mod server_paths;
 pub mod server_queue;
+pub(crate) mod source_outage;
 pub mod split;
 pub mod warmth_estimate;
 pub mod withheld;
--- a/src/process/servers/registry.rs
+++ b/src/process/servers/registry.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::source_outage::SourceOutage;
 use super::withheld::{Withheld, WithheldSubject};
 use crate::clock::{Monotonic, millis};
 use crate::flaw::flawed;
@@ -183,8 +184,7 @@
     was_restored: bool,
     servers: BTreeMap<ServerId, Entry>,
     domains: HashMap<DomainId, DomainState>,
-    source_lost: bool,
-    source_recovered_at: Option<Monotonic>,
+    outage: SourceOutage,
     /// Whether a peer that knows an earlier epoch has told what it withholds, since this registry
     /// entered the present one.
     heard_from_peer: bool,
@@ -210,8 +210,7 @@
             was_restored: false,
             servers: BTreeMap::new(),
             domains: HashMap::new(),
-            source_lost: false,
-            source_recovered_at: None,
+            outage: SourceOutage::default(),
             heard_from_peer: false,
             // A removed server may be in the copy from which the source was restored. Its entry
             // lapses again, at the latest after the lapse time and the usual delay after an outage.
@@ -224,39 +223,36 @@
         self.position
     }
 
-    /// Records that the source does not answer.
-    pub const fn on_source_lost(&mut self) {
-        self.source_lost = true;
+    /// Records that the source does not answer this host.
+    pub fn on_source_lost(&mut self, now: Monotonic) {
+        self.outage.on_failure(now);
     }
 
-    /// Records that the source answers; returns whether it was lost before.
-    pub const fn on_source_answers(&mut self, now: Monotonic) -> bool {
-        let was_lost = self.source_lost;
-        if was_lost {
-            self.source_lost = false;
-            self.source_recovered_at = Some(now);
-        }
-        was_lost
+    /// Records that the source answers this host; returns whether it was away before.
+    pub fn on_source_answers(&mut self, now: Monotonic) -> bool {
+        self.outage.on_answer(now)
+    }
+
+    /// Records that the source answered another host at a time.
+    pub fn on_source_answered_peer(&mut self, at: Monotonic) {
+        self.outage.on_peer_answer(at);
     }
 
     /// Returns how long ago the source recovered, while the grace period of entries still runs.
     pub fn source_recovered_ago(&self, now: Monotonic) -> Option<Duration> {
-        self.source_recovered_at.map(|at| now.saturating_sub(at)).filter(|ago| *ago < LAPSE_GRACE)
+        let ago = self.outage.returned_at().map(|at| now.saturating_sub(at));
+        ago.filter(|ago| *ago < LAPSE_GRACE)
     }
 
     /// Records a peer's report that the source recovered `ago` before now.
     pub fn on_peer_reported_recovery(&mut self, now: Monotonic, ago: Duration) {
-        let at = now.saturating_sub(ago);
-        if self.source_recovered_at.is_none_or(|known| known < at) {
-            self.source_recovered_at = Some(at);
-        }
+        self.outage.on_peer_reported_return(now.saturating_sub(ago));
     }
 
     /// Records that the source answers from a later epoch: it was away, however shortly, and live
     /// servers may have to report again.
-    pub const fn on_source_restored(&mut self, now: Monotonic) {
-        self.source_lost = false;
-        self.source_recovered_at = Some(now);
+    pub fn on_source_restored(&mut self, now: Monotonic) {
+        self.outage.on_restored(now);
     }
 
     /// Applies changes up to a position; returns whether any of them was new. Changes of another
@@ -609,7 +605,7 @@
     /// Returns the end of the grace period for an entry that is removed now, if it may have lapsed
     /// only because of an outage of the source.
     fn grace_end(&self, now: Monotonic) -> Option<Monotonic> {
-        let until = self.source_recovered_at? + LAPSE_GRACE;
+        let until = self.outage.returned_at()? + LAPSE_GRACE;
         (now < until).then_some(until)
     }
 
--- a/src/process/servers/registry/tests.rs
+++ b/src/process/servers/registry/tests.rs
@@ -112,7 +112,7 @@
         let mut registry = Registry::default();
         registry.apply(START, vec![up("a", 1)], at(1));
         if case.source_lost {
-            registry.on_source_lost();
+            registry.on_source_lost(START);
             assert!(registry.on_source_answers(START));
         }
         let now = START + Duration::from_millis(case.after_recovery_ms);
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -139,6 +139,7 @@
             reads: false,
             epochs: Some(Epochs::default()),
             load: Some(0),
+            source_age_ms: None,
         };
         Self {
             members: Mutex::new(Members::new(clock.now(), me, settings.seeds.clone())),
@@ -578,7 +579,7 @@
     /// platform, or the platform has just been restored and may hold an older plan for a while.
     pub fn plan_may_be_outdated(&self) -> bool {
         let in_force = self.plan.load().order();
-        let reads = self.members().own_heartbeat_mut().reads;
+        let reads = self.members().reads();
         let fleet = self.fleet.load();
         fleet.up.iter().any(|h| h.plan_order() > in_force)
             || !(reads || fleet.up.iter().any(|h| h.reads))
