Let hosts start to read the platform without waiting for each other

What callers saw: routes that had been added were refused and others run by the old service for more than the bound of 5 s after the acknowledgement (CONFIG), at hosts of several domains of a fleet of 81; servers that were leaving got requests for as long (DRAIN). Cause: 'reads' in the heartbeat was set by an answer and cleared by a failure only, so that all hosts that had ever read announced it for good. If the reader of a domain lost the platform, the next by address was believed, and had to notice by a time-out of 450 ms that it could not read either, then the next. The steps add up with the size of the fleet. Class: an announcement that outlives what it was drawn from. Change: Succession decides who reads. A host announces that it reads only while it does, and is believed only while its last answer is recent and it is not leaving. The delay after a failed call no longer grows beyond 2 s, and ends when the host lacks facts.

--- a/src/process/configuration/mod.rs
+++ b/src/process/configuration/mod.rs
@@ -6,3 +6,4 @@
 pub mod lost_plan;
 pub mod pull_schedule;
 pub mod reader;
+pub mod succession;
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -7,10 +7,10 @@
 
 use super::fact_exchange;
 use super::lost_plan::LostPlan;
+use super::succession::Succession;
 use crate::connection::exchange::BackendProtocol;
 use crate::connection::source::{Source, SourceError, SourceUpdate};
 use crate::position::{Epochs, PlanOrder, Position};
-use crate::process::membership::members::Heartbeat;
 use crate::process::servers::registry::Registry;
 use crate::process::tier::Tier;
 use crate::version::plan::PlanDocument;
@@ -25,6 +25,8 @@
 /// The initial backoff after a failed call; it doubles up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
+/// The maximum delay after a failed call, however many hosts are calling.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 
 /// Follows the source until the host stops.
 pub async fn run<B: BackendProtocol>(tier: Arc<Tier<B>>, source: impl Source) {
@@ -47,13 +49,15 @@
     // Whether the last call succeeded. A host that has not read for a while may be cut off from the
     // source, and a call that does not wait shows this sooner.
     let mut confirmed = false;
+    let mut succession = Succession::default();
     let mut last_reason = None;
     loop {
         whole |= lost_plan.is_due(tier.now());
-        let reason = reading_reason(&tier);
+        let reason = reading_reason(&tier, &mut succession);
         on_reason_change(&tier, std::mem::replace(&mut last_reason, reason), reason);
         if !whole && reason.is_none() {
             confirmed = false;
+            tier.members().stop_reading();
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
@@ -101,20 +105,31 @@
             Err(error) => {
                 whole |= matches!(error, SourceError::OutdatedEpoch { .. });
                 on_error(&tier, &error);
-                next_backoff(&tier, &mut backoff)
+                wait_to_retry(&tier, next_backoff(&tier, &mut backoff)).await;
+                continue;
             }
         };
         tokio::time::sleep(delay).await;
     }
 }
 
+/// Waits before the next call after a failed one, until this host lacks facts that others have.
+async fn wait_to_retry<B: BackendProtocol>(tier: &Tier<B>, delay: Duration) {
+    let until = tier.now() + delay;
+    let must_read = || tier.peer_health.pulls().must_read(tier.now());
+    let lacked_facts = must_read();
+    while tier.now() < until && (lacked_facts || !must_read()) {
+        tokio::time::sleep(READER_CHECK_INTERVAL.min(until.saturating_sub(tier.now()))).await;
+    }
+}
+
 /// Returns the delay before the next call after a failed one, longer the more hosts of the domain
 /// may be calling as well.
 fn next_backoff<B: BackendProtocol>(tier: &Tier<B>, backoff: &mut Duration) -> Duration {
     *backoff = (*backoff * 2).min(MAX_BACKOFF);
     let own = tier.domain_index(&tier.settings.domain);
     let near = tier.fleet.load().up.iter().filter(|h| h.domain == own).count();
-    backoff.mul_f64(0.5 + near as f64 * rand::random::<f64>())
+    backoff.mul_f64(0.5 + near as f64 * rand::random::<f64>()).min(MAX_RETRY_DELAY)
 }
 
 /// Rejects an update of an earlier epoch than the one that this host knows, from the source or from
@@ -139,25 +154,23 @@
     NoOtherReader,
 }
 
-/// Returns why this host should read, if it should: while it reads itself, it stops only for a
-/// reader in its failure domain with a lower address; otherwise it starts only if no host there
-/// reads.
+/// Returns why this host should read, if it should.
 ///
-/// A host whose reads fail says so in its heartbeat, so that the next host takes over. When no host
-/// of a domain can read, all of them try, less often the more there are, and receive facts from
-/// hosts of other domains meanwhile. A host that lacks facts which no host sends it reads as well.
-fn reading_reason<B: BackendProtocol>(tier: &Tier<B>) -> Option<ReadingReason> {
-    if tier.peer_health.pulls().must_read(tier.now()) {
+/// A host whose reads fail says so in its heartbeat, so that others take over. When no host of a
+/// domain can read, all of them try, less often the more there are, and receive facts from hosts of
+/// other domains meanwhile. A host that lacks facts which no host sends it reads as well.
+fn reading_reason<B: BackendProtocol>(
+    tier: &Tier<B>,
+    succession: &mut Succession,
+) -> Option<ReadingReason> {
+    let now = tier.now();
+    if tier.peer_health.pulls().must_read(now) {
         return Some(ReadingReason::LacksFacts);
     }
-    let own = tier.domain_index(&tier.settings.domain);
-    let i_read = tier.members().own_heartbeat_mut().reads;
-    let fleet = tier.fleet.load();
-    let before = |h: &Heartbeat| !i_read || h.ip < tier.settings.ip;
-    // The facts of a host that doesn't announce epochs can't be used.
-    let reads = |h: &Heartbeat| h.reads && h.epochs.is_some();
-    let other = fleet.up.iter().any(|h| h.domain == own && reads(h) && before(h));
-    (!other).then_some(ReadingReason::NoOtherReader)
+    let own = (tier.settings.ip, tier.domain_index(&tier.settings.domain));
+    let reads = tier.members().reads();
+    let must_read = succession.must_read(now, own, reads, &tier.fleet.load().up);
+    must_read.then_some(ReadingReason::NoOtherReader)
 }
 
 /// Logs that this host starts or stops reading the source.
--- a/tests/tier/reader_succession.rs
+++ b/tests/tier/reader_succession.rs
@@ -1,5 +1,6 @@
 //! Hosts that stop reading the platform, one by one or all at once, are replaced in time.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -34,7 +35,7 @@
 async fn change_is_applied_in_time_when_many_hosts_lose_the_platform() {
     struct Case {
         hosts: usize,
-        /// The first hosts of each domain lose their paths to the platform.
+        /// The first hosts of each domain, and those that read, lose their paths to the platform.
         cut_per_domain: usize,
         /// Whether all hosts have lost the platform for some seconds before.
         after_outage: bool,
@@ -56,7 +57,9 @@
             fleet.set_source_cut(0..hosts, false);
             fleet.run_for(Duration::from_secs(7)).await;
         }
-        fleet.set_source_cut(0..cut_per_domain * DOMAINS, true);
+        let mut cut: BTreeSet<usize> = (0..cut_per_domain * DOMAINS).collect();
+        cut.extend(fleet.readers());
+        fleet.set_source_cut(cut, true);
         let (late, took) = change_and_wait(&mut fleet, APPLY_TIME).await;
         println!("{hosts} hosts, {cut_per_domain} of each domain, {after_outage}: {took:?}");
         if !late.is_empty() {
