Let the soak lose the hosts that read the store, in fleets of dozens

Cause: the soak had one way to the store for all hosts, two domains and small plans, so that the succession of readers was never played: the store could not turn some hosts away while it served others. The warm-up before the first request grows with the number of hosts.

--- a/soak/src/bounds.rs
+++ b/soak/src/bounds.rs
@@ -8,7 +8,6 @@
 
 use crate::callers::{Outcome, Route, SentRequest};
 use crate::invariants::Violation;
-use crate::timeline::STABLE_WINDOW;
 use crate::world::{Endpoint, Host, World};
 
 /// A host may handle a request by an older plan for this long after a newer one took effect.
@@ -70,8 +69,8 @@
 pub fn check_crashes(world: &World) -> Vec<Violation> {
     let crashes = world.request_log.crashes_after(0);
     let Some(third) = crashes.get(2) else { return Vec::new() };
-    let later =
-        |arrival: &&Arrival| arrival.path == third.path && arrival.at > third.at + STABLE_WINDOW;
+    let counts_from = third.at + world.bounds.stable_window;
+    let later = |arrival: &&Arrival| arrival.path == third.path && arrival.at > counts_from;
     let count = world.request_log.arrivals().iter().filter(later).count();
     if count <= MAX_LATER_RUNS {
         return Vec::new();
@@ -140,7 +139,9 @@
 }
 
 fn check_arrival(world: &World, request: &SentRequest, arrival: &Arrival) -> Option<&'static str> {
-    // Hosts ask each other, so that any of them may have sent the request to the server.
+    // Hosts ask each other for the parts of a gathered answer, so that any of them may have sent the
+    // request to the server. To a single server it is sent by the host that took it.
+    let may_have_sent = |host: &&Host| request.route == Route::All || host.ip == request.host.ip();
     let in_touch = |host: &Host| is_in_touch(world, host, request.sent_at, arrival.at);
     let is_withdrawn = world.writers.read_timeline(|timeline| {
         timeline.is_withdrawn(&arrival.server, arrival.at, |at| world.store_is_stable(at, at))
@@ -152,9 +153,9 @@
     if !is_withdrawn && !is_evacuated {
         return None;
     }
-    let link_from = arrival.at.checked_sub(STABLE_WINDOW).unwrap_or(arrival.at);
+    let link_from = arrival.at.checked_sub(world.bounds.stable_window).unwrap_or(arrival.at);
     let is_held_up = |endpoint: &Endpoint| endpoint.link_disruptions.overlap(link_from, arrival.at);
-    if !world.hosts.iter().all(in_touch) || endpoint.is_some_and(is_held_up) {
+    if !world.hosts.iter().filter(may_have_sent).all(in_touch) || endpoint.is_some_and(is_held_up) {
         return None;
     }
     Some(if is_withdrawn {
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -20,7 +20,7 @@
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 
-use crate::world::{DOMAINS, World};
+use crate::world::World;
 
 /// The deadline that callers send with each request; shorter than the routes' timeout.
 pub const DEADLINE: Duration = Duration::from_millis(1_500);
@@ -36,6 +36,8 @@
 const CRASHING_PAUSE: Duration = Duration::from_millis(300);
 /// The mean pause between two probes of a host.
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
+/// The mean pause between two probes of all hosts together; few hosts get fewer.
+const TOTAL_PROBE_PAUSE: Duration = Duration::from_millis(4);
 /// One request in this many may run at most once; the others are idempotent.
 const NON_IDEMPOTENT_EVERY: u32 = 4;
 /// One caller in this many opens a new connection for each request.
@@ -120,7 +122,8 @@
         tokio::time::sleep(MEAN_PAUSE.mul_f64(rng.random_range(0.5..1.5))).await;
         if addrs.1.is_empty() || addrs.0.elapsed() > ADDRESS_REUSE_TIME {
             let host = world.hosts.choose(&mut rng).expect("there are hosts");
-            let found = look_up_hosts((host.ip, DIRECTORY_PORT).into(), n).await;
+            let domain = world.domains[n % world.domains.len()];
+            let found = look_up_hosts((host.ip, DIRECTORY_PORT).into(), domain).await;
             if found.is_empty() {
                 continue;
             }
@@ -183,8 +186,9 @@
     stop_at: Instant,
 ) {
     let mut count = 0_u32;
+    let pause = PROBE_PAUSE.max(TOTAL_PROBE_PAUSE * u32::try_from(world.hosts.len()).unwrap_or(1));
     while Instant::now() < stop_at {
-        tokio::time::sleep(PROBE_PAUSE.mul_f64(rng.random_range(0.5..1.5))).await;
+        tokio::time::sleep(pause.mul_f64(rng.random_range(0.5..1.5))).await;
         let newest = world.writers.newest_plan();
         let n = rng.random_range(newest.saturating_sub(ADDED_ROUTES).max(1)..=newest + 2);
         let Some(sender) = connect(host).await else { continue };
@@ -204,10 +208,10 @@
     Some(sender)
 }
 
-async fn look_up_hosts(host: SocketAddr, n: usize) -> Vec<SocketAddr> {
+async fn look_up_hosts(host: SocketAddr, domain: &str) -> Vec<SocketAddr> {
     let lookup = async {
         let mut sender = connect(host).await?;
-        let path = directory_path(DOMAINS[n % DOMAINS.len()]);
+        let path = directory_path(domain);
         let request = Request::get(path).header("host", HOST_NAME).body(Empty::new()).ok()?;
         let answer = sender.send_request(request).await.ok()?;
         let body = answer.into_body().collect().await.ok()?.to_bytes();
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -16,7 +16,8 @@
 use crate::invariants::Violation;
 use crate::proxy::LinkMode;
 use crate::restore::Restore;
-use crate::world::{DOMAINS, Endpoint, RateLimit, World};
+use crate::succession::Succession;
+use crate::world::{Endpoint, RateLimit, World};
 
 /// Faults start after this time, when all hosts are up.
 pub const FIRST_FAULT_AFTER: Duration = Duration::from_secs(3);
@@ -68,6 +69,8 @@
     RateLimit(usize, f64),
     /// The store is away, then returns from a copy.
     Restore(Restore),
+    /// The hosts that read the store are lost just before changes.
+    Succession(Succession),
 }
 
 /// One fault of a run.
@@ -131,13 +134,18 @@
 }
 
 /// Draws rate limits of servers in different shards, which last until the fault-free end.
-pub fn draw_rate_limits(seed: u64, count: usize, length: Duration, endpoints: usize) -> Vec<Fault> {
+pub fn draw_rate_limits(
+    seed: u64,
+    count: usize,
+    length: Duration,
+    (domains, endpoints): (usize, usize),
+) -> Vec<Fault> {
     // Apart from the other faults, so that these are the same with any number of limits.
     let mut rng = SmallRng::seed_from_u64(seed ^ RATE_LIMIT_SEED);
-    let mut shards: Vec<usize> = (0..endpoints / DOMAINS.len()).collect();
+    let mut shards: Vec<usize> = (0..endpoints / domains).collect();
     shards.shuffle(&mut rng);
     let draw_one = |shard: usize| {
-        let endpoint = shard * DOMAINS.len() + rng.random_range(0..DOMAINS.len());
+        let endpoint = shard * domains + rng.random_range(0..domains);
         let per_s = *RATE_LIMITS_PER_S.choose(&mut rng).expect("there are limits");
         let at = FIRST_FAULT_AFTER + Duration::from_millis(rng.random_range(0..2_000));
         let duration = (length - FAULT_FREE_END).saturating_sub(at);
@@ -227,9 +235,9 @@
         }
         FaultKind::Store(link_mode) => {
             let disruption = world.store_disruptions.begin();
-            world.store_proxy.set_mode(link_mode);
+            world.set_store_links(link_mode);
             tokio::time::sleep(fault.duration).await;
-            world.store_proxy.set_mode(LinkMode::Whole);
+            world.set_store_links(LinkMode::Whole);
             world.store_disruptions.end(disruption);
         }
         FaultKind::Replace(endpoint) => replace(&world, endpoint, n).await?,
@@ -244,28 +252,34 @@
         }
         FaultKind::Plan => world.writers.write_next_plan(&world.shards).await,
         FaultKind::Leave(endpoint, drains) => {
-            let endpoint = &world.endpoints[endpoint];
-            let (key, draining) = endpoint.entry(true);
-            if drains {
-                world.writers.write(&key, Some(draining)).await;
-                tokio::time::sleep(fault.duration.mul_f64(DRAINING_SHARE)).await;
-            }
-            world.writers.write(&key, None).await;
-            let rest = if drains { 1.0 - DRAINING_SHARE } else { 1.0 };
-            tokio::time::sleep(fault.duration.mul_f64(rest)).await;
-            come_back(&world, endpoint, &key).await;
+            leave(&world, endpoint, drains, fault.duration).await;
         }
         FaultKind::Evacuate(domain) => {
-            let key = settings::evacuation_key(DOMAINS[domain]);
+            let key = settings::evacuation_key(world.domains[domain]);
             world.writers.write(&key, Some(json!({ "since": n }))).await;
             tokio::time::sleep(fault.duration).await;
             world.writers.write(&key, None).await;
         }
         FaultKind::Restore(restore) => restore.play(&world, fault.duration).await,
+        FaultKind::Succession(succession) => succession.play(&world, fault.duration).await?,
     }
     Ok(None)
 }
 
+/// Lets a server leave for some time; `drains` tells whether it says so before its entry is removed.
+pub async fn leave(world: &World, endpoint: usize, drains: bool, duration: Duration) {
+    let endpoint = &world.endpoints[endpoint];
+    let (key, draining) = endpoint.entry(true);
+    if drains {
+        world.writers.write(&key, Some(draining)).await;
+        tokio::time::sleep(duration.mul_f64(DRAINING_SHARE)).await;
+    }
+    world.writers.write(&key, None).await;
+    let rest = if drains { 1.0 - DRAINING_SHARE } else { 1.0 };
+    tokio::time::sleep(duration.mul_f64(rest)).await;
+    come_back(world, endpoint, &key).await;
+}
+
 /// Registers the server of an endpoint as ready, unless another one has taken its place.
 async fn come_back(world: &World, endpoint: &Endpoint, key: &str) {
     endpoint.server.lock().expect("no holder of the lock panics").start_again();
@@ -275,7 +289,12 @@
     }
 }
 
-async fn kill_and_restart(world: &World, hosts: &[usize], downtime: Duration) -> io::Result<()> {
+/// Kills hosts at once and starts them again after some time.
+pub async fn kill_and_restart(
+    world: &World,
+    hosts: &[usize],
+    downtime: Duration,
+) -> io::Result<()> {
     let hosts = hosts.iter().map(|host| &world.hosts[*host]);
     let killed: Vec<_> =
         hosts.map(|host| (host, host.disruptions.begin(), host.interventions.begin())).collect();
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -7,7 +7,7 @@
 
 use crate::bounds;
 use crate::callers::{Answer, DEADLINE, Outcome, Route, SentRequest};
-use crate::world::{COVERAGE_FLOOR, DOMAINS, World, records, top_records};
+use crate::world::{COVERAGE_FLOOR, World, records, top_records};
 
 /// How long after its deadline an answer may still arrive, since the machine is shared.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(500);
@@ -69,7 +69,8 @@
         };
         after_recovery.iter().filter(is_here).count() >= MIN_DOMAIN_REQUESTS
     };
-    let asked: Vec<&str> = DOMAINS.into_iter().filter(|domain| is_asked(domain)).collect();
+    let asked: Vec<&str> =
+        world.domains.iter().copied().filter(|domain| is_asked(domain)).collect();
     let arrivals = world.request_log.arrivals();
     let used: BTreeSet<&str> = arrivals
         .iter()
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod periods;
 mod proxy;
 mod restore;
+mod succession;
 mod timeline;
 mod world;
 mod writers;
@@ -26,10 +27,11 @@
 
 use crate::callers::SentRequests;
 use crate::invariants::Violation;
-use crate::world::{Host, World};
+use crate::world::{Host, Size, World};
 
-/// The time that hosts get to start before callers send the first requests.
+/// The time that hosts get to start before callers send the first requests, in all and for each host.
 const WARM_UP: Duration = Duration::from_millis(1_500);
+const HOST_WARM_UP: Duration = Duration::from_millis(50);
 /// Requests must be served again this long after the last fault.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 /// Concurrent runs use different subnets of the loopback network; this is how many there are.
@@ -68,6 +70,18 @@
     /// Number of callers that send a request which crashes servers
     #[bpaf(long, argument("N"), fallback(1))]
     crashing_callers: usize,
+    /// Number of losses of the hosts that read the store, with changes just after
+    #[bpaf(long, argument("N"), fallback(0))]
+    successions: usize,
+    /// Number of failure domains
+    #[bpaf(long, argument("N"), fallback(2), guard(|n| (1..=4).contains(n), "give 1 to 4"))]
+    domains: usize,
+    /// Number of routes in each plan that no caller uses
+    #[bpaf(long, argument("N"), fallback(0))]
+    idle_routes: usize,
+    /// Number of servers that no route uses
+    #[bpaf(long, argument("N"), fallback(0))]
+    idle_servers: usize,
     /// Path of the daemon; by default quetzal-platform in the directory of this program
     #[bpaf(long, argument("FILE"), optional)]
     daemon: Option<PathBuf>,
@@ -110,12 +124,30 @@
 ) -> std::io::Result<Vec<Violation>> {
     let length = Duration::from_secs(options.seconds);
     let (subnet, _claim) = claim_subnet(seed)?;
-    let world = World::start(subnet, seed, options.hosts, daemon, folder).await?;
+    let size = Size {
+        hosts: options.hosts,
+        domains: options.domains,
+        idle_routes: options.idle_routes,
+        idle_servers: options.idle_servers,
+    };
+    let world = World::start(subnet, seed, size, daemon, folder).await?;
     let started_at = Instant::now();
     let (hosts, endpoints) = (world.hosts.len(), world.endpoints.len());
     let mut planned_faults = faults::draw(seed, options.faults, length, hosts, endpoints);
-    planned_faults.extend(restore::draw(seed, options.restores, length, hosts, endpoints));
-    planned_faults.extend(faults::draw_rate_limits(seed, options.rate_limits, length, endpoints));
+    planned_faults.extend(restore::draw(
+        seed,
+        options.restores,
+        length,
+        hosts,
+        (options.domains, endpoints),
+    ));
+    planned_faults.extend(faults::draw_rate_limits(
+        seed,
+        options.rate_limits,
+        length,
+        (options.domains, endpoints),
+    ));
+    planned_faults.extend(succession::draw(seed, options.successions, length, endpoints));
     println!("seed {seed}: {}", summary(&planned_faults));
     let crashes = tokio::spawn(faults::play_crashes(world.clone()));
     let injections: Vec<_> = planned_faults
@@ -123,7 +155,7 @@
         .enumerate()
         .map(|(n, fault)| tokio::spawn(faults::inject(world.clone(), fault, n)))
         .collect();
-    tokio::time::sleep(WARM_UP).await;
+    tokio::time::sleep(WARM_UP.max(HOST_WARM_UP * options.hosts.into())).await;
     let requests = SentRequests::default();
     let stop_at = started_at + length;
     let caller = |n: usize| {
--- a/soak/src/restore.rs
+++ b/soak/src/restore.rs
@@ -10,7 +10,7 @@
 use crate::faults::{
     FAULT_FREE_END, FIRST_FAULT_AFTER, Fault, FaultKind, MAX_FAULT_MS, STALE_ENTRY_TIME,
 };
-use crate::world::{DOMAINS, World};
+use crate::world::World;
 
 /// Evacuations and absences that begin shortly before a restore last until this long before the
 /// end of a run: long enough that their bounds apply, and that hosts recover in time.
@@ -125,13 +125,13 @@
     count: usize,
     length: Duration,
     hosts: usize,
-    endpoints: usize,
+    (domains, endpoints): (usize, usize),
 ) -> Vec<Fault> {
     let mut rng = SmallRng::seed_from_u64(seed ^ SEED_MASK);
     let ms = Duration::from_millis;
     let earliest = FIRST_FAULT_AFTER.as_millis() as u64;
     let latest = (length - FAULT_FREE_END - LATEST_CHANGE).as_millis() as u64;
-    let domain = rng.random_range(0..DOMAINS.len());
+    let domain = rng.random_range(0..domains);
     let mut faults = Vec::new();
     for _ in 0..count {
         let at = ms(rng.random_range(earliest..latest.max(earliest + 1)));
--- a/soak/src/timeline.rs
+++ b/soak/src/timeline.rs
@@ -12,14 +12,42 @@
 use quetzal_platform_standin::store::Copy;
 use serde_json::Value;
 
-/// The store and hosts count as undisturbed this long after their latest disruption.
-pub const STABLE_WINDOW: Duration = Duration::from_millis(4_000);
-/// A server gets no request later than this after the store acknowledged that it leaves or left.
-const DRAIN_TIME: Duration = Duration::from_millis(3_000);
-/// A plan is in force at this time after its acknowledgement.
-const APPLY_TIME: Duration = Duration::from_millis(3_000);
-/// An evacuation is in force at this time after its acknowledgement.
-const EVACUATION_TIME: Duration = Duration::from_millis(5_000);
+/// The bounds of the platform's rules, which depend on the size of the deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The store and hosts count as undisturbed this long after their latest disruption.
+    pub stable_window: Duration,
+    /// A server gets no request later than this after the store acknowledged that it leaves or left.
+    pub drain_time: Duration,
+    /// A plan is in force at this time after its acknowledgement.
+    pub apply_time: Duration,
+    /// An evacuation is in force at this time after its acknowledgement.
+    pub evacuation_time: Duration,
+}
+
+/// The bounds of deployments with few hosts.
+pub const SMALL_FLEET: Bounds = Bounds {
+    stable_window: Duration::from_millis(4_000),
+    drain_time: Duration::from_millis(3_000),
+    apply_time: Duration::from_millis(3_000),
+    evacuation_time: Duration::from_millis(5_000),
+};
+/// The bounds of deployments with dozens of hosts.
+pub const LARGE_FLEET: Bounds = Bounds {
+    stable_window: Duration::from_millis(5_000),
+    drain_time: Duration::from_millis(5_000),
+    apply_time: Duration::from_millis(5_000),
+    evacuation_time: Duration::from_millis(5_000),
+};
+/// The smallest fleet that has the bounds of a large one.
+const LARGE_FLEET_HOSTS: usize = 40;
+
+impl Bounds {
+    /// Returns the bounds of a fleet.
+    pub const fn of_fleet(hosts: usize) -> Self {
+        if hosts < LARGE_FLEET_HOSTS { SMALL_FLEET } else { LARGE_FLEET }
+    }
+}
 
 /// A number that the store held, with the time of each change.
 #[derive(Debug, Default)]
@@ -48,8 +76,9 @@
 }
 
 /// The acknowledgements of a run.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Timeline {
+    bounds: Bounds,
     plan: Held,
     sent_plans: Vec<(Instant, u64)>,
     evacuations: BTreeMap<String, Held>,
@@ -57,6 +86,17 @@
 }
 
 impl Timeline {
+    /// Creates a timeline without acknowledgements.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            plan: Held::default(),
+            sent_plans: Vec::new(),
+            evacuations: BTreeMap::new(),
+            servers: BTreeMap::new(),
+        }
+    }
+
     /// Records that a value is sent to the store; `None` stands for a removal.
     pub fn on_send(&mut self, at: Instant, key: &str, value: Option<&Value>) {
         if let Some(number) = value.filter(|_| key == PLAN_KEY).and_then(plan_number) {
@@ -94,7 +134,7 @@
 
     /// Returns the number of the oldest plan that may handle a request sent at this time.
     pub fn oldest_plan(&self, at: Instant) -> u64 {
-        self.plan.minimum(at.checked_sub(APPLY_TIME).unwrap_or(at), at)
+        self.plan.minimum(at.checked_sub(self.bounds.apply_time).unwrap_or(at), at)
     }
 
     /// Returns the number of the newest plan that was sent to the store by this time.
@@ -105,7 +145,7 @@
 
     /// Returns whether no request may reach the servers of a domain at this time.
     pub fn is_evacuated(&self, domain: &str, at: Instant) -> bool {
-        let from = at.checked_sub(EVACUATION_TIME).unwrap_or(at);
+        let from = at.checked_sub(self.bounds.evacuation_time).unwrap_or(at);
         self.evacuations.get(domain).is_some_and(|held| held.minimum(from, at) > 0)
     }
 
@@ -122,7 +162,7 @@
         let since_offer = steps[..until].iter().rev().take_while(|(_, s)| *s == Step::Withdrawn);
         since_offer
             .into_iter()
-            .any(|(step_at, _)| at > *step_at + DRAIN_TIME && store_is_stable(*step_at))
+            .any(|(step_at, _)| at > *step_at + self.bounds.drain_time && store_is_stable(*step_at))
     }
 }
 
--- a/soak/src/timeline/tests.rs
+++ b/soak/src/timeline/tests.rs
@@ -4,7 +4,7 @@
 use quetzal_platform_standin::store::Store;
 use serde_json::{Value, json};
 
-use super::Timeline;
+use super::{SMALL_FLEET, Timeline};
 
 /// What the platform's writers do, with the number of a plan where there is one.
 #[derive(Clone, Copy)]
@@ -26,7 +26,7 @@
 
 /// Builds a timeline of events with their times in milliseconds.
 fn timeline(start: Instant, events: &[(u64, Event)]) -> Timeline {
-    let mut timeline = Timeline::default();
+    let mut timeline = Timeline::new(SMALL_FLEET);
     let plan = |number| plan(number, &["one".to_owned()], 8, 0.5);
     let (server, domain) = (server_key("s"), evacuation_key("north"));
     for (at_ms, event) in events {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -12,17 +12,19 @@
 use nix::unistd::Pid;
 use quetzal_platform_standin::server::{RequestLog, Server};
 use quetzal_platform_standin::settings;
-use quetzal_platform_standin::store::Store;
+use quetzal_platform_standin::store::{Access, Store};
 
 use serde_json::Value;
 
 use crate::periods::Periods;
-use crate::proxy::Proxy;
-use crate::timeline::STABLE_WINDOW;
+use crate::proxy::{LinkMode, Proxy};
+use crate::timeline::Bounds;
 use crate::writers::Writers;
 
-/// The failure domains.
-pub const DOMAINS: [&str; 2] = ["north", "south"];
+/// The failure domains, of which a run uses the first ones.
+pub const ALL_DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
+/// The number of services of the servers that no route uses.
+const IDLE_SERVICES: usize = 40;
 /// The number of shards, each with one server in each failure domain.
 pub const SHARDS: usize = 6;
 /// The maximum number of records in an answer.
@@ -45,6 +47,9 @@
     settings: PathBuf,
     log: PathBuf,
     daemon: PathBuf,
+    /// Its way to the store.
+    pub store_access: Access,
+    bounds: Bounds,
     child: Mutex<Option<Child>>,
     starts: Mutex<Vec<Instant>>,
     /// The periods in which a fault affected the host, so that its callers may get no answer.
@@ -120,7 +125,9 @@
     /// Returns whether the host ran without intervention for the stable window before a period
     /// and throughout the period.
     pub fn is_steady(&self, from: Instant, until: Instant) -> bool {
-        !self.interventions.overlap(from.checked_sub(STABLE_WINDOW).unwrap_or(from), until)
+        !self
+            .interventions
+            .overlap(from.checked_sub(self.bounds.stable_window).unwrap_or(from), until)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
@@ -172,13 +179,26 @@
     pub until: Instant,
 }
 
+/// How many parts a run has.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub hosts: u8,
+    pub domains: usize,
+    /// The routes of each plan that no caller uses, and the servers that no route uses.
+    pub idle_routes: usize,
+    pub idle_servers: usize,
+}
+
 /// The hosts, the backend servers and the store of one run.
 #[derive(Debug)]
 pub struct World {
     pub hosts: Vec<Host>,
     pub endpoints: Vec<Endpoint>,
     pub writers: Arc<Writers>,
-    pub store_proxy: Proxy,
+    /// The domains in use.
+    pub domains: &'static [&'static str],
+    pub bounds: Bounds,
+    store_proxies: Vec<Proxy>,
     /// The periods in which the store was away or disrupted.
     pub store_disruptions: Periods,
     pub request_log: RequestLog,
@@ -212,7 +232,20 @@
     /// Returns whether the store was undisturbed for the stable window before a period and
     /// throughout the period.
     pub fn store_is_stable(&self, from: Instant, until: Instant) -> bool {
-        !self.store_disruptions.overlap(from.checked_sub(STABLE_WINDOW).unwrap_or(from), until)
+        let from = from.checked_sub(self.bounds.stable_window).unwrap_or(from);
+        !self.store_disruptions.overlap(from, until)
+    }
+
+    /// Sets how the connections of all hosts to the store are handled.
+    pub fn set_store_links(&self, mode: LinkMode) {
+        self.store_proxies.iter().for_each(|proxy| proxy.set_mode(mode));
+    }
+
+    /// Returns the hosts that have called the store within a period that ends now.
+    pub fn readers(&self, period: Duration) -> Vec<usize> {
+        let calls =
+            |host: &Host| host.store_access.last_call().is_some_and(|at| at.elapsed() < period);
+        (0..self.hosts.len()).filter(|n| calls(&self.hosts[*n])).collect()
     }
 
     /// Starts stand-ins and hosts. Concurrent runs need different values of `subnet`, which is part
@@ -220,19 +253,20 @@
     pub async fn start(
         subnet: u8,
         seed: u64,
-        hosts: u8,
+        size: Size,
         daemon: &Path,
         folder: &Path,
     ) -> io::Result<Arc<Self>> {
+        let domains = &ALL_DOMAINS[..size.domains];
+        let bounds = Bounds::of_fleet(size.hosts.into());
         let standin_ip = Ipv4Addr::new(127, 9, subnet, 1);
         let (store, request_log) = (Store::default(), RequestLog::default());
-        let store_proxy = Proxy::start(standin_ip, store.serve(standin_ip).await?).await?;
         let shards: Vec<String> = (0..SHARDS).map(|n| format!("shard-{n}")).collect();
-        let writers = Arc::new(Writers::new(store, seed));
+        let writers = Arc::new(Writers::new(store.clone(), seed, bounds, size.idle_routes));
         writers.write_next_plan(&shards).await;
         let mut endpoints = Vec::new();
         for (n, shard) in shards.iter().enumerate() {
-            for domain in DOMAINS {
+            for domain in domains {
                 let id = format!("{shard}-{domain}");
                 let server = Server::new(id, shard.clone(), records(n), request_log.clone());
                 let proxy = Proxy::start(standin_ip, server.serve(standin_ip).await?).await?;
@@ -247,12 +281,26 @@
                 endpoints.push(endpoint);
             }
         }
-        let ips: Vec<Ipv4Addr> = (0..hosts).map(|n| Ipv4Addr::new(127, 8, subnet, n + 1)).collect();
+        for n in 0..size.idle_servers {
+            let (service, domain) =
+                (format!("idle-{}", n % IDLE_SERVICES), domains[n % domains.len()]);
+            let entry = settings::server(&service, (standin_ip, 1).into(), domain, false, 0);
+            writers.write(&settings::server_key(&format!("idle-{n}")), Some(entry)).await;
+        }
+        let ips: Vec<Ipv4Addr> =
+            (0..size.hosts).map(|n| Ipv4Addr::new(127, 8, subnet, n + 1)).collect();
+        let mut stores = Vec::new();
+        for _ in &ips {
+            let access = Access::default();
+            let addr = store.serve_host(standin_ip, access.clone()).await?;
+            stores.push((access, Proxy::start(standin_ip, addr).await?));
+        }
         let host = |(n, ip): (usize, &Ipv4Addr)| -> io::Result<Host> {
+            let (store_access, store_proxy) = &stores[n];
             let settings = folder.join(format!("{ip}.yaml"));
             let seeds = &ips[..ips.len().min(3)];
-            let domain = DOMAINS[n % DOMAINS.len()];
-            let text = settings::file(*ip, domain, seeds, store_proxy.addr);
+            let domain = domains[n % domains.len()];
+            let text = settings::file(*ip, domain, domains, seeds, store_proxy.addr);
             std::fs::write(&settings, text)?;
             let host = Host {
                 ip: *ip,
@@ -260,6 +308,8 @@
                 settings,
                 log: folder.join(format!("{ip}.log")),
                 daemon: daemon.into(),
+                store_access: store_access.clone(),
+                bounds,
                 child: Mutex::default(),
                 starts: Mutex::default(),
                 disruptions: Periods::default(),
@@ -273,7 +323,9 @@
             hosts,
             endpoints,
             writers,
-            store_proxy,
+            domains,
+            bounds,
+            store_proxies: stores.into_iter().map(|(_, proxy)| proxy).collect(),
             store_disruptions: Periods::default(),
             request_log,
             rate_limits: Mutex::default(),
--- a/soak/src/writers.rs
+++ b/soak/src/writers.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::timeline::Timeline;
+use crate::timeline::{Bounds, Timeline};
 use crate::world::{COVERAGE_FLOOR, RECORD_COUNT};
 
 /// The pause after a write that the store did not take.
@@ -36,15 +36,21 @@
 pub struct Writers {
     /// The store to which they write.
     pub store: Store,
+    /// The number of routes in each plan that no caller uses.
+    idle_routes: usize,
     state: Mutex<State>,
 }
 
 impl Writers {
     /// Creates writers that have written nothing yet.
-    pub fn new(store: Store, seed: u64) -> Self {
-        let (wanted, timeline) = (BTreeMap::new(), Timeline::default());
+    pub fn new(store: Store, seed: u64, bounds: Bounds, idle_routes: usize) -> Self {
+        let (wanted, timeline) = (BTreeMap::new(), Timeline::new(bounds));
         let rng = SmallRng::seed_from_u64(seed);
-        Self { store, state: Mutex::new(State { wanted, newest_plan: 0, timeline, rng }) }
+        Self {
+            store,
+            idle_routes,
+            state: Mutex::new(State { wanted, newest_plan: 0, timeline, rng }),
+        }
     }
 
     /// Writes a value, or removes a key, as soon as the store takes it.
@@ -57,7 +63,9 @@
     pub async fn write_next_plan(&self, shards: &[String]) {
         {
             let mut state = self.lock();
-            let plan = settings::plan(state.newest_plan, shards, RECORD_COUNT, COVERAGE_FLOOR);
+            let number = state.newest_plan;
+            let mut plan = settings::plan(number, shards, RECORD_COUNT, COVERAGE_FLOOR);
+            settings::add_idle_routes(&mut plan, self.idle_routes, shards);
             state.newest_plan += 1;
             state.wanted.insert(PLAN_KEY.to_owned(), Some(plan));
         }
