Answer everything that a leaving host has accepted

What callers saw: in a planned stop, requests that came late in the grace period were taken, ran on a server, and ended with a closed connection; long answers were cut off while callers still read them (LOST). Class: work that is accepted although its end is known to come too late. The stages are a struct of their own; tier.rs shrinks.

--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -36,7 +36,7 @@
         tokio::select! {
             Some((host, facts)) = received.recv() => on_pulled(&tier, host, facts),
             _ = pull_timer.tick() => pull(&tier),
-            () = tier.stopped.cancelled() => return,
+            () = tier.shutdown.stopped.cancelled() => return,
         }
     }
 }
--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -30,7 +30,7 @@
 
 /// Follows the source until the host stops.
 pub async fn run<B: BackendProtocol>(tier: Arc<Tier<B>>, source: impl Source) {
-    let stopped = tier.stopped.clone();
+    let stopped = tier.shutdown.stopped.clone();
     tokio::select! {
         () = follow(tier, source) => {}
         () = stopped.cancelled() => {}
--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -44,7 +44,7 @@
                 report_suspects(&tier, &socket).await;
             }
             () = tier.suspects.changed() => report_suspects(&tier, &socket).await,
-            () = tier.stopped.cancelled() => return Ok(()),
+            () = tier.shutdown.stopped.cancelled() => return Ok(()),
         }
     }
 }
--- a/src/process/servers/server_paths.rs
+++ b/src/process/servers/server_paths.rs
@@ -148,7 +148,7 @@
         tokio::select! {
             _ = ticks.tick() => {}
             () = tier.server_paths.checks_wanted.notified() => {}
-            () = tier.stopped.cancelled() => return,
+            () = tier.shutdown.stopped.cancelled() => return,
         }
         let probes = tier.server_paths.lock().take_probes(tier.now());
         let servers = tier.servers.load();
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -9,7 +9,6 @@
 use arc_swap::ArcSwap;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use super::budgets::extra_attempt_budget::{ExtraAttemptBudget, ExtraAttemptLimit};
 use super::budgets::retry_schedule::RetrySchedule;
@@ -26,6 +25,7 @@
 };
 use super::servers::server_paths::ServerPaths;
 use super::servers::split::WeightedRoundRobin;
+use super::shutdown::Shutdown;
 use super::suspects::Suspects;
 use crate::clock::{Clock, Monotonic};
 use crate::connection::exchange::{BackendProtocol, RateStatement};
@@ -92,12 +92,8 @@
     pub servers: ArcSwap<ServerView>,
     /// The other hosts.
     pub fleet: ArcSwap<FleetView>,
-    /// Cancelled once callers must no longer be directed to this host.
-    pub leaving: CancellationToken,
-    /// Cancelled once the host accepts no new requests.
-    pub stop_accepting: CancellationToken,
-    /// Cancelled once the host stops.
-    pub stopped: CancellationToken,
+    /// The stages of this host's shutdown.
+    pub shutdown: Shutdown,
     /// The requests that may have crashed servers.
     pub suspects: Suspects,
     pub(crate) metrics: Arc<Metrics>,
@@ -155,9 +151,7 @@
             plan: ArcSwap::default(),
             servers: ArcSwap::default(),
             fleet: ArcSwap::from_pointee(FleetView { known_hosts: 1, ..FleetView::default() }),
-            leaving: CancellationToken::new(),
-            stop_accepting: CancellationToken::new(),
-            stopped: CancellationToken::new(),
+            shutdown: Shutdown::default(),
             suspects: Suspects::new(metrics.clone()),
             metrics,
             domains,
@@ -590,13 +584,13 @@
     pub fn is_ready(&self) -> bool {
         self.plan.load().version > 0
             && !self.servers.load().is_empty()
-            && !self.leaving.is_cancelled()
+            && !self.shutdown.leaving.is_cancelled()
     }
 
     /// Returns the lifecycle phase that this host announces. A host that is cut off is announced as
     /// starting, so that neither callers nor relayed requests are directed to it.
     pub fn phase(&self) -> Phase {
-        match (self.leaving.is_cancelled(), self.is_ready() && !self.is_cut_off()) {
+        match (self.shutdown.leaving.is_cancelled(), self.is_ready() && !self.is_cut_off()) {
             (true, _) => Phase::Leaving,
             (false, true) => Phase::Ready,
             (false, false) => Phase::Starting,
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -91,7 +91,7 @@
     let _running = tier.track_running();
     let plan = tier.plan.load_full();
     let began_at = tier.now();
-    if plan.version == 0 || tier.stop_accepting.is_cancelled() {
+    if plan.version == 0 {
         return Served::of(Outcome::NotRun(NotRunReason::NotReady));
     }
     let path = request.call.path.split('?').next().unwrap_or_default();
@@ -107,6 +107,11 @@
         return Served::of(Outcome::Answered(Answer::NoRoute));
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at, plan.order()));
+    if !tier.shutdown.admits(began_at, job.deadline) {
+        let outcome = Outcome::NotRun(NotRunReason::NotReady);
+        log_end(tier, &job, &outcome, began_at, plan.version);
+        return Served::elsewhere(outcome);
+    }
     let admission = tier.suspects.quarantine().check(began_at, job.fingerprint);
     if let Err(Refusal { retry_after }) = admission {
         let outcome = Outcome::NotRun(NotRunReason::Quarantined);
@@ -114,7 +119,10 @@
         return Served { outcome, retry_after };
     }
     job.begin_trial(tier);
-    let outcome = run(tier, &job, None, plan.version).await;
+    let outcome = tokio::select! {
+        outcome = run(tier, &job, None, plan.version) => outcome,
+        () = tier.shutdown.answer_now.cancelled() => Outcome::Unknown(UnknownReason::TimedOut),
+    };
     if job.in_trial.load(Ordering::Relaxed) {
         tier.suspects.quarantine().end_trial(job.fingerprint);
     }
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -204,7 +204,7 @@
     call: ForwardCall,
 ) -> Outcome<Answer> {
     let began_at = tier.now();
-    if tier.stop_accepting.is_cancelled() {
+    if tier.shutdown.stop_accepting.is_cancelled() {
         return Outcome::NotRun(NotRunReason::NotReady);
     }
     if tier.running() >= u32::from(tier.settings.weight) * FORWARDED_PER_WEIGHT {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -57,7 +57,7 @@
 /// Returns the error of the operating system if the port can't be bound.
 pub async fn serve<B: BackendProtocol>(tier: Arc<Tier<B>>) -> io::Result<()> {
     let listener = TcpListener::bind((tier.settings.ip, tier.settings.peer_port)).await?;
-    while let Some(stream) = accept(&listener, &tier.stopped, "a host").await {
+    while let Some(stream) = accept(&listener, &tier.shutdown.stopped, "a host").await {
         tokio::spawn(connection(tier.clone(), stream));
     }
     Ok(())
@@ -104,7 +104,7 @@
     tokio::select! {
         () = send => {}
         () = receive => {}
-        () = tier.stopped.cancelled() => {}
+        () = tier.shutdown.stopped.cancelled() => {}
     }
     // The calling host has disconnected, so its calls are cancelled.
     for call in running.lock().expect("no holder of the lock panics").values() {
--- a/tests/tier/hosts_without_server_paths.rs
+++ b/tests/tier/hosts_without_server_paths.rs
@@ -125,7 +125,7 @@
         if slowest.0 > Duration::from_millis(900) {
             wrong.push(format!("{name}: an idempotent request took {slowest:?}"));
         }
-        hosts.iter().for_each(|host| host.tier.stopped.cancel());
+        hosts.iter().for_each(|host| host.tier.shutdown.stopped.cancel());
     }
     wrong.sort();
     assert!(wrong.is_empty(), "{wrong:#?}");
@@ -152,7 +152,7 @@
             }
             // The host that helps goes while it runs requests.
             if n == 45 {
-                hosts[1].tier.stopped.cancel();
+                hosts[1].tier.shutdown.stopped.cancel();
             }
             let mut request = hosts[0].request("once");
             request.call.request_id = format!("once-{n}").into();
@@ -175,7 +175,7 @@
         let ran: Vec<String> = servers.stats().runs.iter().map(|(id, _)| id.clone()).collect();
         refused.retain(|id| ran.contains(id));
         assert!(refused.is_empty(), "{links:?}: refused as not run, but ran: {refused:?}");
-        hosts.iter().for_each(|host| host.tier.stopped.cancel());
+        hosts.iter().for_each(|host| host.tier.shutdown.stopped.cancel());
     }
 }
 
@@ -232,7 +232,7 @@
             assert!(is_served(&served), "{links:?}: {:?}", served.outcome);
             assert!(took < PROCESSING_TIME * 10, "{links:?}: {took:?}");
         }
-        hosts.iter().for_each(|host| host.tier.stopped.cancel());
+        hosts.iter().for_each(|host| host.tier.shutdown.stopped.cancel());
     }
 }
 
@@ -255,7 +255,7 @@
         hosts[0].servers.set_links(Links::Whole, &[]);
         tokio::time::sleep(Duration::from_secs(1)).await;
     }
-    hosts.iter().for_each(|host| host.tier.stopped.cancel());
+    hosts.iter().for_each(|host| host.tier.shutdown.stopped.cancel());
 }
 
 /// Guards against callers who wait for what no host can serve.
@@ -278,5 +278,5 @@
         assert!(refused, "{:?}", served.outcome);
         assert!(took < Duration::from_millis(20), "{took:?}");
     }
-    hosts.iter().for_each(|host| host.tier.stopped.cancel());
+    hosts.iter().for_each(|host| host.tier.shutdown.stopped.cancel());
 }
--- a/tests/tier/relay_failures.rs
+++ b/tests/tier/relay_failures.rs
@@ -58,7 +58,7 @@
     assert_eq!(north.tier.pool.open(), 0, "the host must open no connections of its own");
     assert!(south.tier.pool.open() > 0, "the relay must have connections");
 
-    south.tier.stopped.cancel();
+    south.tier.shutdown.stopped.cancel();
     let mut answered = 0;
     for _ in 0..20 {
         let (served, took) = north.serve("all").await;
--- a/tests/tier/simulated_fleet.rs
+++ b/tests/tier/simulated_fleet.rs
@@ -300,7 +300,7 @@
 
     /// Ends a host without notice to the others.
     pub fn kill(&mut self, host: usize) {
-        self.hosts[host].tier.stopped.cancel();
+        self.hosts[host].tier.shutdown.stopped.cancel();
         self.hosts[host].runs = false;
         self.connections.retain(|(from, to), _| *from != host && *to != host);
     }
