Spread pulls over the hosts that have the newest facts

Cause: hosts that lacked the same facts chose the same host by rank and asked it at the same moment, for a whole plan each. Change: of hosts with the same rank, any is chosen. Measured: hosts_that_lack_the_same_ask_different_ones: 80 pulls go to at least 15 of 20 hosts, at most 12 to one; before, all went to one by construction. Other tests of the schedule pass.

--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -250,7 +250,7 @@
     // The next host asked may know an earlier epoch if this one does not.
     let may_withhold =
         |h: &&Heartbeat| asks && h.position().is_some_and(|at| at.epoch >= position.epoch);
-    let chosen = PullSchedule::choose(own, &candidates).or_else(|| {
+    let chosen = PullSchedule::choose(own, &candidates, &mut rand::rng()).or_else(|| {
         let host = fleet.up.iter().filter(may_withhold).choose(&mut rand::rng());
         host.map(|host| host.ip)
     });
--- a/src/process/configuration/pull_schedule.rs
+++ b/src/process/configuration/pull_schedule.rs
@@ -7,6 +7,9 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 use crate::clock::Monotonic;
 use crate::position::{PlanOrder, Position};
 
@@ -87,11 +90,13 @@
     }
 
     /// Chooses the host to ask for what `own` lacks: one that answers, then one of the own failure
-    /// domain, then the one with the newest facts.
-    pub fn choose(own: Reached, candidates: &[Candidate]) -> Option<Ipv4Addr> {
-        let rank = |c: &&Candidate| (!c.suspect, c.near, c.reached.position, c.reached.plan);
-        let newer = candidates.iter().filter(|candidate| !own.has(&candidate.reached));
-        newer.max_by_key(rank).map(|candidate| candidate.host)
+    /// domain, then the one with the newest facts. Of several, any is chosen, so that hosts which
+    /// lack the same do not all ask the same one.
+    pub fn choose(own: Reached, candidates: &[Candidate], rng: &mut impl Rng) -> Option<Ipv4Addr> {
+        let rank = |c: &Candidate| (!c.suspect, c.near, c.reached.position, c.reached.plan);
+        let newer = || candidates.iter().filter(|candidate| !own.has(&candidate.reached));
+        let best = newer().map(rank).max()?;
+        newer().filter(|candidate| rank(candidate) == best).choose(rng).map(|c| c.host)
     }
 
     /// Records that a host was asked.
--- a/src/process/configuration/pull_schedule/tests.rs
+++ b/src/process/configuration/pull_schedule/tests.rs
@@ -1,3 +1,8 @@
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
 use super::*;
 
 const fn ms(ms: u64) -> Duration {
@@ -68,8 +73,26 @@
         },
     ];
     for Case { name, candidates, asked } in cases {
-        assert_eq!(PullSchedule::choose(own, &candidates), asked.map(host), "{name}");
+        let mut rng = StdRng::seed_from_u64(7);
+        let chosen = PullSchedule::choose(own, &candidates, &mut rng);
+        assert_eq!(chosen, asked.map(host), "{name}");
+    }
+}
+
+/// Guards against a host that all others ask for the same large plan at the same moment.
+#[test]
+fn hosts_that_lack_the_same_ask_different_ones() {
+    let mut candidates: Vec<Candidate> =
+        (0..20).map(|n| candidate(n, reached(9, 9), true, false)).collect();
+    candidates.push(candidate(20, reached(9, 9), true, true));
+    let mut asked: BTreeMap<Ipv4Addr, usize> = BTreeMap::new();
+    let mut rng = StdRng::seed_from_u64(7);
+    for _ in 0..80 {
+        let chosen = PullSchedule::choose(reached(5, 5), &candidates, &mut rng);
+        *asked.entry(chosen.expect("others have more")).or_default() += 1;
     }
+    assert!(asked.len() >= 15 && asked.values().all(|count| *count <= 12), "{asked:?}");
+    assert!(!asked.contains_key(&host(20)), "it does not answer");
 }
 
 #[test]
