Give the first call of a host that takes over the reading its full time

Cause: a call that does not wait had 450 ms, which are meant to notice the loss of a waiting call. If the store or the machine is so busy that answers take longer, each host of a domain fails its first call in turn, and none ever becomes the reader. Change: such a call has the 1.2 s of other calls without waiting.

--- a/tests/tier/simulated_fleet.rs
+++ b/tests/tier/simulated_fleet.rs
@@ -185,7 +185,8 @@
         loop {
             if !self.is_reachable() {
                 // The connection is dead from here on.
-                tokio::time::sleep_until(began_at + max_wait + WATCH_GRACE).await;
+                let timeout = (max_wait + WATCH_GRACE).max(READ_TIMEOUT);
+                tokio::time::sleep_until(began_at + timeout).await;
                 return Err(SourceError::Unresponsive("cut".to_owned()));
             }
             if self.revision() > after.revision || began_at.elapsed() >= max_wait {
