--- a/src/process/configuration/reader.rs
+++ b/src/process/configuration/reader.rs
@@ -177,20 +177,20 @@
 fn on_reason_change<B: BackendProtocol>(
     tier: &Tier<B>,
     before: Option<ReadingReason>,
-    now: Option<ReadingReason>,
+    reason: Option<ReadingReason>,
 ) {
-    if before == now {
+    if before == reason {
         return;
     }
     let Position { epoch, revision } = tier.servers.load().position;
     let version = tier.plan.load().version;
-    match now {
+    match reason {
         Some(reason) => {
             tracing::info!(?reason, version, epoch, revision, "reading the platform");
         }
         None => tracing::info!(version, epoch, revision, "another host reads the platform"),
     }
-    tier.metrics.reads_platform(now.is_some());
+    tier.metrics.reads_platform(reason.is_some());
 }
 
 fn on_source_update<B: BackendProtocol>(
