Check that ages in heartbeats don't disturb the build before

Cause: nothing showed that hosts of the build before read messages with ages, or that a forwarded age grows. Change: two tests of the wire format and of the age of a held heartbeat.

--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -486,3 +486,51 @@
         }
     }
 }
+
+/// Guards against ages that hosts of the build before can't skip, or that are given to other hosts.
+#[test]
+fn source_ages_round_trip_and_do_not_keep_older_builds_from_reading_a_message() {
+    let cases = [vec![], vec![None, None], vec![Some(0)], vec![None, Some(70_000), None, Some(3)]];
+    for ages in cases {
+        let mut sent = gossip(&vec![Some(Epochs { source: 2, plan_series: 1 }); ages.len()]);
+        for (heartbeat, age) in sent.heartbeats.iter_mut().zip(&ages) {
+            (heartbeat.load, heartbeat.source_age_ms) = (Some(7), *age);
+        }
+        let bytes = sent.encode();
+        assert_eq!(Gossip::decode(&bytes), Some(sent.clone()), "{ages:?}");
+        if ages.is_empty() {
+            continue;
+        }
+        // The build before reads the loads with all that follows them.
+        let (_, rest) = postcard::take_from_bytes::<OldGossip>(&bytes).expect("it is readable");
+        let (_, rest) = postcard::take_from_bytes::<GossipExtension>(rest).expect("it follows");
+        let (_, rest) = postcard::take_from_bytes::<(Vec<LimitReport>, Vec<SuspectReport>)>(rest)
+            .expect("they follow");
+        let loads = postcard::from_bytes::<Vec<Option<u16>>>(rest);
+        assert_eq!(loads, Ok(vec![Some(7); ages.len()]), "{ages:?}");
+    }
+}
+
+/// Guards against answers of the platform that seem newer the more often a heartbeat is passed on.
+#[test]
+fn source_age_grows_while_a_heartbeat_is_held() {
+    let start = Duration::from_secs(10);
+    let mut reader = Members::new(start, Heartbeat { reads: false, ..heartbeat(1) }, vec![]);
+    reader.on_source_answer(start);
+    let mut rng = StdRng::seed_from_u64(7);
+    reader.tick(start + Duration::from_millis(300), &mut rng);
+    let announced = *reader.own_heartbeat_mut();
+    assert_eq!((announced.reads, announced.source_age_ms), (true, Some(300)));
+
+    let mut other = Members::new(start, heartbeat(5), vec![]);
+    let received_at = start + Duration::from_millis(400);
+    other.on_gossip(received_at, Gossip { heartbeats: vec![announced], ..Gossip::default() });
+    assert_eq!(other.peer_answered_at(), Some(start + Duration::from_millis(100)));
+    let view = other.view(received_at + Duration::from_millis(900));
+    assert_eq!(view.up[0].source_age_ms, Some(1_200));
+
+    assert!(reader.stop_reading());
+    reader.tick(received_at, &mut rng);
+    let announced = *reader.own_heartbeat_mut();
+    assert_eq!((announced.reads, announced.source_age_ms), (false, None));
+}
