Spread the starts of readers over a second, and send facts to who lacks them

Change: the starts are spread evenly over at most 1 s, 60 ms apart in small domains; facts are not sent to hosts whose heartbeat shows that they have them (unless something is withheld, which heartbeats don't show).

--- a/src/process/configuration/fact_exchange.rs
+++ b/src/process/configuration/fact_exchange.rs
@@ -198,6 +198,17 @@
     send_newer(tier, before, receivers);
 }
 
+/// Returns the facts that this host has.
+fn reached<B: BackendProtocol>(tier: &Tier<B>) -> Reached {
+    Reached { position: tier.servers.load().position, plan: tier.plan.load().order() }
+}
+
+/// Returns the facts that a host announces to have. The changes of a host that doesn't announce
+/// epochs can't be used.
+fn announced(host: &Heartbeat) -> Reached {
+    Reached { position: host.position().unwrap_or_default(), plan: host.plan_order() }
+}
+
 fn near_hosts<B: BackendProtocol>(tier: &Tier<B>) -> impl Iterator<Item = Ipv4Addr> {
     let own = tier.domain_index(&tier.settings.domain);
     let fleet = tier.fleet.load_full();
@@ -205,13 +216,25 @@
     near.into_iter()
 }
 
-/// Sends facts newer than `before` to hosts, and whether each must pass them on.
-fn send_newer<B: BackendProtocol>(tier: &Tier<B>, before: Known, receivers: Vec<(Ipv4Addr, bool)>) {
+/// Sends facts newer than `before` to hosts that do not announce to have them already, and whether
+/// each must pass them on.
+fn send_newer<B: BackendProtocol>(
+    tier: &Tier<B>,
+    before: Known,
+    mut receivers: Vec<(Ipv4Addr, bool)>,
+) {
     let facts = facts_after(tier, before);
     let withholds = facts.extension.as_ref().is_some_and(|e| e.whole || !e.withheld.is_empty());
     if facts.changes.is_empty() && facts.plan.is_none() && !withholds {
         return;
     }
+    // What hosts withhold is not announced.
+    if !withholds {
+        let (own, fleet) = (reached(tier), tier.fleet.load());
+        let has_all =
+            |host: Ipv4Addr| fleet.up.iter().any(|h| h.ip == host && announced(h).has(&own));
+        receivers.retain(|(host, _)| !has_all(*host));
+    }
     for (host, pass_on) in receivers {
         let facts = Facts { pass_on, ..facts.clone() };
         tier.peers.send(host, tier.settings.peer_port, Frame::Facts(facts));
@@ -224,7 +247,7 @@
     let known = known_versions(tier);
     let (position, asks) =
         tier.registry(|registry| (registry.position(), registry.asks_peers(now)));
-    let own = Reached { position, plan: known.plan_order() };
+    let own = reached(tier);
     let overdue = tier.peer_health.pulls().take_overdue(now);
     if let Some(pull) = overdue {
         tier.on_host_overdue(pull.host, pull.sent_at);
@@ -235,8 +258,7 @@
         let suspicion = tier.peer_health.suspicion();
         let candidate = |h: &Heartbeat| Candidate {
             host: h.ip,
-            // The changes of a host that doesn't announce epochs can't be used.
-            reached: Reached { position: h.position().unwrap_or_default(), plan: h.plan_order() },
+            reached: announced(h),
             near: h.domain == own_domain,
             suspect: suspicion.is_suspect(now, &h.ip),
         };
--- a/src/process/configuration/pull_schedule.rs
+++ b/src/process/configuration/pull_schedule.rs
@@ -28,7 +28,8 @@
 }
 
 impl Reached {
-    fn has(&self, other: &Self) -> bool {
+    /// Returns whether a host with these facts has all that another one has.
+    pub fn has(&self, other: &Self) -> bool {
         self.position >= other.position && self.plan >= other.plan
     }
 
--- a/src/process/configuration/succession.rs
+++ b/src/process/configuration/succession.rs
@@ -11,10 +11,11 @@
 use crate::clock::Monotonic;
 use crate::process::membership::members::{DomainIndex, Heartbeat, Phase};
 
-/// The time between the starts of two hosts, in which the first can announce that it reads.
-const START_INTERVAL: Duration = Duration::from_millis(60);
-/// All hosts of a domain have started after this time.
-const MAX_START_DELAY: Duration = Duration::from_millis(300);
+/// The longest time between the starts of two hosts, in which the first can announce that it reads.
+const MAX_START_INTERVAL: Duration = Duration::from_millis(60);
+/// All hosts of a domain have started after this time. Spread over less of it, many of them would
+/// start before one of them has announced that it reads, and pass on the same facts.
+const MAX_START_DELAY: Duration = Duration::from_millis(1_000);
 /// A host that announces that it reads is not believed if its latest answer is older than this. It
 /// is longer than a call that waits for changes, and than a complete read usually takes.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(3_000);
@@ -60,9 +61,11 @@
             return false;
         }
         let since = *self.vacant_since.get_or_insert(now);
-        let before = near().filter(|host| host.ip < own && host.phase != Phase::Leaving).count();
-        let before = u32::try_from(before).unwrap_or(u32::MAX);
-        now.saturating_sub(since) >= START_INTERVAL.saturating_mul(before).min(MAX_START_DELAY)
+        let staying = || near().filter(|host| host.phase != Phase::Leaving);
+        let count = |hosts: usize| u32::try_from(hosts).unwrap_or(u32::MAX);
+        let before = count(staying().filter(|host| host.ip < own).count());
+        let interval = MAX_START_INTERVAL.min(MAX_START_DELAY / (count(staying().count()) + 1));
+        now.saturating_sub(since) >= interval * before
     }
 }
 
