Never send a request twice on one connection to a server

Cause: a request that a server rejected is sent again after 40 ms, and the pool hands out the connection that was used last, often the one of the first send. A server may send a reply once more, late, where the next one is expected; the copy of the rejection has the identifier of the second send, the only proof that a reply belongs to a request. The host believed "not run" while it ran. Change: a connection remembers the requests that it carried without a final answer, and is not taken for them again. The connection keeps it, not the run: a relay keeps nothing of an earlier call for the same request. Test: late_copy_of_a_rejection_does_not_make_a_request_run_twice; before the change the request ran and ended as not run.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod caller;
 pub mod caller_api;
+pub mod carried_requests;
 pub mod coverage;
 pub mod exchange;
 pub(crate) mod fence;
--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use super::carried_requests::CarriedRequests;
 use super::exchange::Exchange;
 use crate::clock::Monotonic;
 use crate::ids::ServerId;
@@ -19,6 +20,7 @@
 #[derive(Debug)]
 struct IdleConnection<L> {
     link: L,
+    carried: CarriedRequests,
     since: Monotonic,
     usable_until: Monotonic,
 }
@@ -61,35 +63,37 @@
 }
 
 impl<L: Exchange> ServerPool<L> {
-    /// Takes the most recently used idle connection, if it has been idle for at most `idle_for`. A
-    /// server may start again under its id at another address; connections to the earlier one are
-    /// closed.
+    /// Takes the most recently used idle connection that has been idle for at most `idle_for` and
+    /// may carry `request`. A server may start again under its id at another address; connections
+    /// to the earlier one are closed.
     pub fn take(
-        &self,
+        self: &Arc<Self>,
         now: Monotonic,
-        server: &str,
+        server: &ServerId,
         addr: SocketAddr,
         idle_for: Duration,
-    ) -> Option<L> {
+        request: &str,
+    ) -> Option<(L, ConnectionPermit<L>)> {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         // The address must be known before the first connection is opened.
-        let entry = servers.entry(server.into()).or_default();
+        let entry = servers.entry(server.clone()).or_default();
         if entry.addr.replace(addr).is_some_and(|known| known != addr) {
             entry.invalidate(now);
         }
         let before = entry.idle.len();
         entry.idle.retain(|idle| now < idle.usable_until);
         entry.open = entry.open.saturating_sub(before - entry.idle.len());
-        let newest = entry.idle.last()?;
-        if now.saturating_sub(newest.since) > idle_for {
-            return None;
-        }
-        entry.idle.pop().map(|idle| idle.link)
+        let usable = |idle: &IdleConnection<L>| {
+            now.saturating_sub(idle.since) <= idle_for && idle.carried.allows(request)
+        };
+        let newest = entry.idle.iter().rposition(usable)?;
+        let IdleConnection { link, carried, .. } = entry.idle.remove(newest);
+        Some((link, self.permit(server, carried)))
     }
 
     /// Reserves a permit for a new connection, or returns `None` if `limit` connections are in use.
     /// At the limit, the oldest idle connection is closed: the request did not take it because it
-    /// had been idle for too long.
+    /// had been idle for too long or had carried the same request.
     pub fn reserve(
         self: &Arc<Self>,
         server: &ServerId,
@@ -105,7 +109,16 @@
             entry.open = entry.open.saturating_sub(1);
         }
         entry.open += 1;
-        Some(ConnectionPermit { pool: self.clone(), server: server.clone(), returned: false })
+        Some(self.permit(server, CarriedRequests::default()))
+    }
+
+    fn permit(
+        self: &Arc<Self>,
+        server: &ServerId,
+        carried: CarriedRequests,
+    ) -> ConnectionPermit<L> {
+        let (pool, server) = (self.clone(), server.clone());
+        ConnectionPermit { pool, server, carried, returned: false }
     }
 
     /// Returns whether an idle connection is available or a new one may be opened.
@@ -154,24 +167,30 @@
 pub struct ConnectionPermit<L: Exchange> {
     pool: Arc<ServerPool<L>>,
     server: ServerId,
+    carried: CarriedRequests,
     returned: bool,
 }
 
 impl<L: Exchange> ConnectionPermit<L> {
-    /// Returns the permit of a connection that came from [`ServerPool::take`].
-    pub fn for_taken(pool: &Arc<ServerPool<L>>, server: &ServerId) -> Self {
-        Self { pool: pool.clone(), server: server.clone(), returned: false }
+    /// Records that the connection has carried a request that may be sent again.
+    pub fn on_unanswered(&mut self, request: &str) {
+        self.carried.record(request);
     }
 
     /// Returns the connection to the pool, to be reused within `idle`; `began_at` is when its last
     /// exchange began.
     pub fn return_to_pool(mut self, now: Monotonic, link: L, began_at: Monotonic, idle: Duration) {
+        if self.carried.is_full() {
+            return;
+        }
         let pool = self.pool.clone();
         let mut servers = pool.servers.lock().expect("no holder of the lock panics");
         let entry = servers.entry(self.server.clone()).or_default();
         if began_at >= entry.not_before {
             self.returned = true;
-            entry.idle.push(IdleConnection { link, since: now, usable_until: now + idle });
+            let carried = std::mem::take(&mut self.carried);
+            let usable_until = now + idle;
+            entry.idle.push(IdleConnection { link, carried, since: now, usable_until });
         }
         drop(servers);
     }
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -363,13 +363,14 @@
         Idempotency::Idempotent => Duration::MAX,
         Idempotency::NonIdempotent => ASSUMED_ALIVE_FOR,
     };
-    let mut idle = tier.pool.take(tier.now(), id, record.addr, idle_for);
+    let request = &job.call.request_id;
+    let mut idle = tier.pool.take(tier.now(), id, record.addr, idle_for, request);
     // Whether the request was written to a connection that was lost, so that it may have run.
     let mut lost = false;
     loop {
         let reused = idle.is_some();
-        let (mut link, slot) = match idle.take() {
-            Some(link) => (link, ConnectionPermit::for_taken(&tier.pool, id)),
+        let (mut link, mut slot) = match idle.take() {
+            Some(taken) => taken,
             None => match open(tier, job, server).await {
                 Ok(opened) => opened,
                 Err(_) if lost => {
@@ -420,6 +421,9 @@
             tier.on_domain_answered(tier.domain_index(&record.domain));
             tier.on_server_reached(&record.service);
         }
+        if !matches!(&exchanged, ExchangeResult::Reply(reply) if reply.is_success()) {
+            slot.on_unanswered(request);
+        }
         if let Some(may_idle) = link.keep_alive_time() {
             slot.return_to_pool(tier.now(), link, began_at, may_idle);
         }
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -1,6 +1,6 @@
 //! Fake backend servers whose behaviour a test sets, and a host of the tier that uses them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -45,6 +45,9 @@
     NeverReplies,
     /// It sheds the request without running it.
     Sheds,
+    /// It sheds each request the first time that it gets it, and sends the rejection once more, late,
+    /// where the next reply on the connection is expected. It answers when it gets the request again.
+    ShedsOnceAndRepeats,
     /// It runs the request, then aborts the connection.
     AbortsConnection,
     /// It runs the request and replies with status 500.
@@ -72,6 +75,8 @@
     rate: RateStatement,
     /// When the server crashed last.
     crashed_at: Option<Instant>,
+    /// The requests that the server has shed.
+    shed: HashSet<String>,
 }
 
 impl FakeServer {
@@ -163,7 +168,14 @@
     pub fn set_behaviour(&self, addr: SocketAddr, mode: Mode, processing_time: Duration) {
         let mut servers = self.servers.lock().expect("no holder of the lock panics");
         let rate = servers.get(&addr).map_or(RateStatement::Unlimited, |server| server.rate);
-        servers.insert(addr, FakeServer { mode, processing_time, rate, crashed_at: None });
+        let shed = HashSet::new();
+        servers.insert(addr, FakeServer { mode, processing_time, rate, crashed_at: None, shed });
+    }
+
+    /// Tells whether a server sheds a request because it gets it for the first time.
+    fn sheds_once(&self, addr: SocketAddr, request: &str) -> bool {
+        let mut servers = self.servers.lock().expect("no holder of the lock panics");
+        servers.get_mut(&addr).is_some_and(|server| server.shed.insert(request.to_owned()))
     }
 
     /// Crashes a server, which ends all requests that it runs.
@@ -217,6 +229,8 @@
     used: bool,
     /// Whether the last exchange ended with a complete reply.
     reusable: bool,
+    /// The request whose rejection arrives once more in place of the next reply.
+    late_copy_of: Option<String>,
     rate_statement: Option<RateStatement>,
 }
 
@@ -241,7 +255,14 @@
         }
         self.stats().connections += 1;
         let servers = self.clone();
-        Ok(FakeLink { servers, addr, used: false, reusable: true, rate_statement: None })
+        Ok(FakeLink {
+            servers,
+            addr,
+            used: false,
+            reusable: true,
+            late_copy_of: None,
+            rate_statement: None,
+        })
     }
 }
 
@@ -315,6 +336,11 @@
                 self.rate_statement = self.servers.rate(self.addr);
                 return ExchangeResult::Shed;
             }
+            Mode::ShedsOnceAndRepeats if self.servers.sheds_once(self.addr, &call.request_id) => {
+                self.reusable = true;
+                self.late_copy_of = Some(call.request_id.to_string());
+                return ExchangeResult::Shed;
+            }
             Mode::Replaced => return ExchangeResult::WrongServer,
             Mode::Unreachable => return ExchangeResult::Unsent,
             Mode::DropsIdleConnections if reused => {
@@ -325,9 +351,16 @@
             | Mode::NeverReplies
             | Mode::AbortsConnection
             | Mode::Fails
+            | Mode::ShedsOnceAndRepeats
             | Mode::DropsIdleConnections => {}
         }
         self.servers.stats().runs.push((call.request_id.to_string(), self.addr));
+        // The echoed identifier is all that tells a late copy from the reply.
+        match self.late_copy_of.take() {
+            Some(copied) if copied == call.request_id => return ExchangeResult::Shed,
+            Some(_) => return ExchangeResult::Lost(UnknownReason::BadReply),
+            None => {}
+        }
         let mut guard = CancellationGuard(&self.servers, false);
         let processing_time =
             if mode == Mode::NeverReplies { time_left * 2 } else { processing_time };
--- a/tests/tier/retries.rs
+++ b/tests/tier/retries.rs
@@ -111,6 +111,28 @@
     }
 }
 
+/// Guards against a request that runs twice because a late copy of its rejection is taken for the
+/// reply to its second send.
+#[tokio::test(start_paused = true)]
+async fn late_copy_of_a_rejection_does_not_make_a_request_run_twice() {
+    struct Case {
+        route: &'static str,
+        max_runs: usize,
+    }
+    let cases = [Case { route: "once", max_runs: 1 }, Case { route: "one", max_runs: 1 }];
+    for case in cases {
+        let mut host = TestHost::new(1);
+        for domain in [NORTH, SOUTH] {
+            let mode = Mode::ShedsOnceAndRepeats;
+            host.servers.set_behaviour(addr(0, domain), mode, PROCESSING_TIME);
+        }
+        let (served, _) = host.serve(case.route).await;
+        assert_eq!(outcome_kind(&served.outcome), OutcomeKind::Answered, "{}", case.route);
+        let runs = host.servers.stats().runs.len();
+        assert!(runs <= case.max_runs, "{}: {runs} runs", case.route);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn idempotent_request_is_tried_on_at_most_two_servers() {
     struct Case {
