Do not take hosts that were not heard of yet for absent

Cause: the only host that sends to a cold server is chosen among the hosts that are up. A host that has just started, or was paused, knows no other one for up to half a second, and takes itself for the chosen one. Ruled out: full token buckets (one request for each host, at its start); the time for which an entry counts as cold (it is longer than the store says). Change: Discovery tells whether a host knows the fleet: a second after the complete view of a host that knows it, or two seconds after its start or a pause. Until then it sends to no cold server, unless it is chosen among the seeds, which is all that hosts have in common that start together. Heartbeats say whether they are a complete view, after the ages, where the build before ignores it. Buckets start empty, and the smaller side of a partition uses less of the limit. Test: tests/tier/cold_servers.rs, 2 to 300 hosts, limits of 1 to 100 a second, starts, pauses and partitions; before the change three of three failed, with 8 in a second at a limit of 1, and 1,961 with 300 hosts.

--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -8,10 +8,12 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
+use super::discovery::{Discovery, FleetKnowledge};
 use crate::clock::{Monotonic, millis};
 use crate::derive::key;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
@@ -120,7 +122,7 @@
 pub struct Gossip {
     /// The sender's own heartbeat, followed by those that it received from others.
     pub heartbeats: Vec<Heartbeat>,
-    /// Requests a reply, because the sender knows no other host yet.
+    /// Requests a reply, because the sender knows no other host that is up.
     pub wants_answer: bool,
     /// The sender's use of servers that state a rate limit. [`Gossip::encode`] appends it to the
     /// message.
@@ -129,11 +131,16 @@
     /// Requests that may have crashed servers. [`Gossip::encode`] appends them after the former.
     #[serde(skip)]
     pub suspect_reports: Vec<SuspectReport>,
+    /// The sender knows the fleet, and the heartbeats are those of all hosts that are up.
+    /// [`Gossip::encode`] appends it to the message.
+    #[serde(skip)]
+    pub complete: bool,
 }
 
 /// The epochs of a message's heartbeats, which follow the message. Builds without epochs ignore
 /// bytes after the message, builds without reports ignore bytes after the epochs, builds without
-/// loads ignore bytes after the reports, and builds without ages ignore bytes after the loads.
+/// loads ignore bytes after the reports, builds without ages ignore bytes after the loads, and
+/// builds without complete views ignore bytes after the ages.
 #[derive(Debug, Serialize, Deserialize)]
 struct GossipExtension {
     /// The epochs of the first heartbeat, and of all others that are not listed.
@@ -153,7 +160,8 @@
             .zip(&self.heartbeats)
             .filter_map(|(index, heartbeat)| Some((index, heartbeat.source_age_ms?)))
             .collect();
-        let has_loads = has_loads || !ages.is_empty();
+        let has_ages = self.complete || !ages.is_empty();
+        let has_loads = has_loads || has_ages;
         let has_reports =
             has_loads || !self.limit_reports.is_empty() || !self.suspect_reports.is_empty();
         if !has_epochs && !has_reports {
@@ -178,7 +186,11 @@
             }
             let loads: Vec<Option<u16>> = self.heartbeats.iter().map(|h| h.load).collect();
             let message = postcard::to_extend(&loads, message)?;
-            if ages.is_empty() { Ok(message) } else { postcard::to_extend(&ages, message) }
+            if !has_ages {
+                return Ok(message);
+            }
+            let message = postcard::to_extend(&ages, message)?;
+            if self.complete { postcard::to_extend(&self.complete, message) } else { Ok(message) }
         });
         extended.expect("plain data always serializes")
     }
@@ -197,10 +209,13 @@
                 let (loads, rest) = postcard::take_from_bytes::<Vec<Option<u16>>>(rest).ok()?;
                 gossip.heartbeats.iter_mut().zip(loads).for_each(|(h, load)| h.load = load);
                 if !rest.is_empty() {
-                    let ages: Vec<(u16, u32)> = postcard::from_bytes(rest).ok()?;
+                    let (ages, rest) = postcard::take_from_bytes::<Vec<(u16, u32)>>(rest).ok()?;
                     for (index, age) in ages {
                         gossip.heartbeats.get_mut(usize::from(index))?.source_age_ms = Some(age);
                     }
+                    if !rest.is_empty() {
+                        gossip.complete = postcard::from_bytes(rest).ok()?;
+                    }
                 }
             }
         }
@@ -251,6 +266,10 @@
     pub known_hosts_in: Vec<(DomainIndex, usize)>,
     /// Number of ready hosts in this host's failure domain that rank before it by weight.
     pub domain_rank: usize,
+    /// How far `up` can be relied on to name all hosts that are up.
+    pub knowledge: FleetKnowledge,
+    /// The hosts to contact first, which may include this one and may be stale.
+    pub seeds: SmallVec<[Ipv4Addr; 3]>,
 }
 
 impl FleetView {
@@ -284,6 +303,7 @@
 pub struct Members {
     me: Heartbeat,
     others: BTreeMap<Ipv4Addr, Member>,
+    discovery: Discovery,
     seeds: Vec<Ipv4Addr>,
     next_same_domain_round: Monotonic,
     next_cross_domain_round: Monotonic,
@@ -296,22 +316,20 @@
 impl Members {
     /// Creates the state from the host's first heartbeat and its seeds.
     pub fn new(now: Monotonic, me: Heartbeat, seeds: Vec<Ipv4Addr>) -> Self {
-        let mut members = Self {
+        Self {
             me,
             others: BTreeMap::new(),
-            seeds: Vec::new(),
+            discovery: Discovery::new(now),
+            seeds,
             next_same_domain_round: now,
             next_cross_domain_round: now,
             announced: (me.phase, me.reads),
             source_answered_at: None,
-        };
-        members.set_seeds(seeds);
-        members
+        }
     }
 
     /// Replaces the seeds; returns whether they changed.
-    pub fn set_seeds(&mut self, mut seeds: Vec<Ipv4Addr>) -> bool {
-        seeds.retain(|seed| *seed != self.me.ip);
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) -> bool {
         let changed = self.seeds != seeds;
         self.seeds = seeds;
         changed
@@ -346,6 +364,7 @@
 
     /// Returns the gossip messages that are due, with their recipients.
     pub fn tick(&mut self, now: Monotonic, rng: &mut impl Rng) -> Vec<(Ipv4Addr, Gossip)> {
+        self.discovery.on_tick(now);
         let age = |at| u32::try_from(millis(now.saturating_sub(at))).unwrap_or(u32::MAX);
         self.me.source_age_ms = self.source_answered_at.map(age);
         self.others.retain(|_, member| now.saturating_sub(member.received_at) < EVICTION_TIMEOUT);
@@ -374,17 +393,19 @@
             recipients.extend(other_domains.sample(rng, fanout));
             // Hosts that don't know each other share a seed. Contacting a seed now and then
             // reunites the sides of a partition that have considered each other down.
-            let has_no_recipient = recipients.is_empty();
-            if has_no_recipient {
-                recipients.extend(&self.seeds);
+            let other_seeds = || self.seeds.iter().copied().filter(|seed| *seed != self.me.ip);
+            let is_known = self.discovery.knowledge(now) == FleetKnowledge::Known;
+            if recipients.is_empty() || !is_known {
+                recipients.extend(other_seeds());
             } else if rng.random_ratio(1, 4) {
-                recipients.extend(self.seeds.choose(rng));
+                recipients.extend(other_seeds().choose(rng));
             }
             recipients.sort_unstable();
             recipients.dedup();
         }
-        let wants_answer = self.others.is_empty();
         let all = self.live_heartbeats(now);
+        let wants_answer = all.len() == 1;
+        let knows_all = self.knows_all(now, &all);
         // Traffic between domains is expensive, so a large fleet sends only the heartbeats that the
         // recipient can't get within its own domain.
         let own_domain: Vec<Heartbeat> = if self.is_small_fleet() {
@@ -397,7 +418,9 @@
         };
         let gossip = |ip: Ipv4Addr| {
             let heartbeats = if in_other_domain(&ip) { &own_domain } else { &all };
-            (ip, Gossip { heartbeats: heartbeats.clone(), wants_answer, ..Gossip::default() })
+            let complete = knows_all && heartbeats.len() == all.len();
+            let heartbeats = heartbeats.clone();
+            (ip, Gossip { heartbeats, wants_answer, complete, ..Gossip::default() })
         };
         let mut messages: Vec<(Ipv4Addr, Gossip)> = recipients.into_iter().map(gossip).collect();
         messages.extend(self.announcements(now));
@@ -421,6 +444,12 @@
         recipients.into_iter().map(|ip| (ip, gossip.clone())).collect()
     }
 
+    /// Tells whether the live heartbeats are those of the whole fleet. A host that hears of no other
+    /// one may be cut off, and says nothing to hosts that start.
+    fn knows_all(&self, now: Monotonic, live: &[Heartbeat]) -> bool {
+        live.len() > 1 && self.discovery.knowledge(now) == FleetKnowledge::Known
+    }
+
     fn is_small_fleet(&self) -> bool {
         self.others.len() <= SMALL_FLEET_MAX_OTHERS
     }
@@ -460,14 +489,18 @@
                 sender_is_stale |= known.is_some_and(|k| k.count > heartbeat.count);
             }
         }
+        if gossip.complete {
+            self.discovery.on_complete_view(now);
+        }
         let must_reply = gossip.wants_answer || sender_is_stale;
         let reply = |ip: &Ipv4Addr| {
             let mut heartbeats = self.live_heartbeats(now);
+            let complete = self.knows_all(now, &heartbeats);
             // A host that was down for a while is not among the live ones, and must learn of the
             // heartbeats of its earlier process nevertheless.
             let earlier = self.others.get(ip).filter(|_| sender_is_stale);
             heartbeats.extend(earlier.map(|member| member.heartbeat));
-            Gossip { heartbeats, ..Gossip::default() }
+            Gossip { heartbeats, complete, ..Gossip::default() }
         };
         from.filter(|_| must_reply).map(|ip| (ip, reply(&ip)))
     }
@@ -503,6 +536,8 @@
             up: up.map(|member| member.heartbeat_at(now)).collect(),
             known_hosts: self.others.len() + 1,
             known_hosts_in: known_hosts_in.into_iter().collect(),
+            knowledge: self.discovery.knowledge(now),
+            seeds: SmallVec::from_slice(&self.seeds),
         }
     }
 
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::smallvec;
 
+use super::super::discovery::FleetKnowledge;
 use super::{DomainIndex, Gossip, GossipExtension, Heartbeat, Members, Phase};
 use crate::clock::Monotonic;
 use crate::ids::{ConfigVersion, Incarnation, Revision};
@@ -474,7 +475,13 @@
             (vec![report.clone()], vec![suspect.clone()]),
         ] {
             let heartbeats = heartbeats.clone();
-            let gossip = Gossip { heartbeats, limit_reports, suspect_reports, wants_answer: true };
+            let gossip = Gossip {
+                heartbeats,
+                limit_reports,
+                suspect_reports,
+                wants_answer: true,
+                complete: false,
+            };
             let bytes = gossip.encode();
             assert_eq!(Gossip::decode(&bytes).as_ref(), Some(&gossip));
             let (before, rest) = postcard::take_from_bytes::<GossipBeforeReports>(&bytes)
@@ -511,6 +518,70 @@
     }
 }
 
+/// Guards against complete views that hosts of the build before can't skip.
+#[test]
+fn complete_views_round_trip_and_do_not_keep_the_build_before_from_reading_ages() {
+    for ages in [vec![None], vec![Some(3), None]] {
+        for complete in [false, true] {
+            let mut sent = gossip(&vec![NEW; ages.len()]);
+            for (heartbeat, age) in sent.heartbeats.iter_mut().zip(&ages) {
+                (heartbeat.load, heartbeat.source_age_ms) = (Some(7), *age);
+            }
+            sent.complete = complete;
+            let bytes = sent.encode();
+            assert_eq!(Gossip::decode(&bytes), Some(sent.clone()), "{ages:?} {complete}");
+            // The build before reads the ages with all that follows them.
+            let (_, rest) = postcard::take_from_bytes::<OldGossip>(&bytes).expect("it is readable");
+            let (_, rest) = postcard::take_from_bytes::<GossipExtension>(rest).expect("it follows");
+            let (_, rest) =
+                postcard::take_from_bytes::<(Vec<LimitReport>, Vec<SuspectReport>)>(rest)
+                    .expect("they follow");
+            let (_, rest) =
+                postcard::take_from_bytes::<Vec<Option<u16>>>(rest).expect("they follow");
+            let listed = (0..).zip(&ages).filter_map(|(n, age)| Some((n, (*age)?)));
+            let expected: Vec<(u16, u32)> = listed.collect();
+            if rest.is_empty() {
+                assert!(expected.is_empty() && !complete, "{ages:?} {complete}");
+            } else {
+                assert_eq!(postcard::from_bytes(rest), Ok(expected), "{ages:?} {complete}");
+            }
+        }
+    }
+}
+
+/// Guards against hosts that announce a complete view before they have one, and against a host that
+/// joins a fleet and does not learn that it knows all hosts.
+#[test]
+fn only_hosts_that_know_the_fleet_announce_complete_views() {
+    let mut net = Net::new(8);
+    let knowledge = |net: &Net, n: usize| {
+        net.hosts[n].as_ref().expect("the host is up").view(net.now).knowledge
+    };
+    net.run(Duration::from_millis(1_500), 0.0);
+    assert_eq!(knowledge(&net, 5), FleetKnowledge::Unknown);
+    net.run(Duration::from_millis(3_000), 0.0);
+    assert_eq!(knowledge(&net, 5), FleetKnowledge::Known);
+
+    net.hosts[5] = None;
+    net.run(Duration::from_secs(4), 0.0);
+    net.hosts[5] = Some(Members::new(net.now, heartbeat(5), vec![ip(0), ip(1), ip(200)]));
+    net.run(Duration::from_millis(100), 0.0);
+    assert_eq!(knowledge(&net, 5), FleetKnowledge::Joining);
+    net.run(Duration::from_millis(1_100), 0.0);
+    assert_eq!(knowledge(&net, 5), FleetKnowledge::Known);
+    assert_eq!(net.up_seen_by(5).len(), 7);
+
+    // A host that hears of no other one may be cut off, and tells no other that it knows the fleet.
+    let mut alone = Members::new(net.now, heartbeat(9), vec![ip(0)]);
+    let later = net.now + Duration::from_secs(60);
+    let messages: Vec<(Ipv4Addr, Gossip)> = (0..1_200)
+        .flat_map(|n| alone.tick(net.now + Duration::from_millis(n * 50), &mut net.rng))
+        .collect();
+    assert_eq!(alone.view(later).knowledge, FleetKnowledge::Known);
+    assert!(!messages.is_empty());
+    assert!(messages.iter().all(|(_, gossip)| !gossip.complete && gossip.wants_answer));
+}
+
 /// Guards against answers of the platform that seem newer the more often a heartbeat is passed on.
 #[test]
 fn source_age_grows_while_a_heartbeat_is_held() {
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet membership: which hosts are up, which host holds each seat, and which hosts are suspected.
 
 pub mod directory;
+pub mod discovery;
 pub mod domain_paths;
 pub mod gossip;
 pub mod heartbeat_transport;
--- a/src/process/servers/cold_rate_limit/tests.rs
+++ b/src/process/servers/cold_rate_limit/tests.rs
@@ -1,7 +1,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use super::{ColdRateLimiter, is_sender};
+use super::{ColdRateLimiter, SHARE_OF_LIMIT, is_sender};
 use crate::ids::ServerId;
 
 fn host(n: u8) -> Ipv4Addr {
@@ -27,7 +27,7 @@
         let mut sent: Vec<u64> = Vec::new();
         for ms in 0..5_000 {
             for side in &mut sides {
-                if side.try_take(Duration::from_millis(ms), &server, case.per_s) {
+                if side.try_take(Duration::from_millis(ms), &server, case.per_s, SHARE_OF_LIMIT) {
                     sent.push(ms);
                 }
             }
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -16,7 +16,7 @@
 use super::membership::members::{DomainIndex, FleetView, Heartbeat, Members, Phase};
 use super::membership::peer_health::PeerHealth;
 use super::metrics::Metrics;
-use super::servers::cold_rate_limit::{ColdRateLimiter, is_sender};
+use super::servers::cold_rate_limit::{ColdRateLimiter, Sender};
 use super::servers::passive_health::PassiveHealth;
 use super::servers::rate_limit::{LimitChange, LimitReport, RateLimits};
 use super::servers::reachability::Failure;
@@ -202,41 +202,32 @@
         route.regions.is_empty() || region().is_some_and(|region| route.regions.contains(region))
     }
 
-    /// Returns a server's current cold-start limit in requests per second, if it has one.
-    fn cold_rate_limit(&self, now: Monotonic, server: &LiveServer) -> Option<f64> {
-        if now >= server.cold_until {
+    /// Returns a server's current cold-start limit in requests per second, if it has one, and the
+    /// share of it that this host may use.
+    fn cold_rate_limit(&self, server: &LiveServer) -> Option<(f64, f64)> {
+        if self.now() >= server.cold_until {
             return None;
         }
-        self.plan.load().services.get(&server.record.service)?.cold_per_s
+        let per_s = self.plan.load().services.get(&server.record.service)?.cold_per_s?;
+        let domain = |domain| self.domain_index(domain);
+        let me = Sender { ip: self.settings.ip, domain: domain(&self.settings.domain) };
+        let share = me.share(&self.fleet.load(), domain(&server.record.domain), &server.record.id);
+        Some((per_s, share))
     }
 
     /// Returns whether the cold-start limit of a server allows this host to send to it.
-    ///
-    /// Only one host sends to each cold server: a host of the server's failure domain if one is up,
-    /// otherwise any host of the fleet.
     pub fn has_cold_token(&self, server: &LiveServer) -> bool {
-        let now = self.now();
-        let Some(per_s) = self.cold_rate_limit(now, server) else { return true };
-        let id = &server.record.id;
-        let domain = self.domain_index(&server.record.domain);
-        let fleet = self.fleet.load();
-        let near = || fleet.up.iter().filter(|h| h.domain == domain).map(|h| h.ip);
-        let sends = if server.record.domain == self.settings.domain {
-            is_sender(self.settings.ip, near(), id)
-        } else {
-            near().next().is_none()
-                && is_sender(self.settings.ip, fleet.up.iter().map(|h| h.ip), id)
-        };
-        sends && self.cold_rate_limiter().has_token(now, id, per_s)
+        self.cold_rate_limit(server).is_none_or(|(per_s, share)| {
+            self.cold_rate_limiter().has_token(self.now(), &server.record.id, per_s, share)
+        })
     }
 
     /// Counts a request about to be sent to a server against its cold-start limit; returns whether
     /// it may be sent.
     pub fn try_take_cold_token(&self, server: &LiveServer) -> bool {
-        let now = self.now();
-        let Some(per_s) = self.cold_rate_limit(now, server) else { return true };
-        self.has_cold_token(server)
-            && self.cold_rate_limiter().try_take(now, &server.record.id, per_s)
+        self.cold_rate_limit(server).is_none_or(|(per_s, share)| {
+            self.cold_rate_limiter().try_take(self.now(), &server.record.id, per_s, share)
+        })
     }
 
     fn cold_rate_limiter(&self) -> MutexGuard<'_, ColdRateLimiter> {
@@ -625,6 +616,7 @@
         };
         self.pool.sweep(now, |server| servers.get(server).is_some_and(wanted));
         self.passive_health().forget_unused(now, FORGET_SERVERS_AFTER);
+        self.cold_rate_limiter().evict(now);
         let limited = {
             let mut rate_limits = self.rate_limits();
             rate_limits.evict(now);
--- a/tests/tier/main.rs
+++ b/tests/tier/main.rs
@@ -3,6 +3,7 @@
 //! communicate over loopback sockets in real time.
 
 mod caller_disconnects;
+mod cold_servers;
 mod connection_limits;
 mod crashing_requests;
 mod dropped_idle_connections;
