--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -34,6 +34,8 @@
 const MEAN_PAUSE: Duration = Duration::from_millis(25);
 /// The mean pause between two requests that crash servers.
 const CRASHING_PAUSE: Duration = Duration::from_millis(300);
+/// The pause of a caller that insists on one host.
+const INSISTING_PAUSE: Duration = Duration::from_millis(20);
 /// The mean pause between two probes of a host.
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// The mean pause between two probes of all hosts together; few hosts get fewer.
@@ -199,6 +201,36 @@
     }
 }
 
+/// Sends requests to one host, also when it has just started, until `stop_at`; `n` is the number of
+/// the caller at the host.
+pub async fn insist(
+    world: Arc<World>,
+    host: SocketAddr,
+    n: usize,
+    sent_requests: SentRequests,
+    stop_at: Instant,
+) {
+    let mut count = 0_u32;
+    let mut connection: Option<CallerConnection> = None;
+    while Instant::now() < stop_at {
+        tokio::time::sleep(INSISTING_PAUSE).await;
+        let mut open = match connection.take().filter(|c| !c.sender.is_closed()) {
+            Some(open) => open,
+            None => match connect(host).await {
+                Some(sender) => CallerConnection { host, sender },
+                None => continue,
+            },
+        };
+        count += 1;
+        // A route that the newest plan names, and the one before it.
+        let route = Route::Added(world.writers.newest_plan().saturating_sub(1).max(1));
+        let id = format!("i{}-{n}-{count}", host.ip());
+        let (request, may_reuse) = send(&mut open, id, route).await;
+        connection = may_reuse.then_some(open);
+        sent_requests.lock().expect("no holder of the lock panics").push(request);
+    }
+}
+
 async fn connect(host: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
     let stream =
         tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await.ok()?.ok()?;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -13,6 +13,7 @@
 
 use serde_json::json;
 
+use crate::cold::ColdStart;
 use crate::invariants::Violation;
 use crate::proxy::LinkMode;
 use crate::restore::Restore;
@@ -30,6 +31,7 @@
 pub const STALE_ENTRY_TIME: Duration = Duration::from_millis(1_500);
 /// The rate limits that servers state; without one, a server gets some 100 requests a second.
 const RATE_LIMITS_PER_S: [f64; 4] = [0.5, 5.0, 20.0, 50.0];
+const LATE_REPLY_SEED: u64 = 0x6c61_7465_7265_706c;
 const RATE_LIMIT_SEED: u64 = 0x6c69_6d69_7473;
 /// How long a server is down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(2_000);
@@ -65,6 +67,10 @@
     Leave(usize, bool),
     /// A failure domain is taken out of service.
     Evacuate(usize),
+    /// The servers of a shard reject half of their requests, and send some replies twice.
+    LateReplies(usize),
+    /// The servers of a shard become cold.
+    Cold(ColdStart),
     /// A server states a rate limit, in requests per second.
     RateLimit(usize, f64),
     /// The store is away, then returns from a copy.
@@ -154,6 +160,29 @@
     shards.into_iter().take(count).map(draw_one).collect()
 }
 
+/// Draws times in which the servers of a shard reject requests and send replies twice. The first
+/// shard is the one whose requests may run at most once.
+pub fn draw_late_replies(
+    seed: u64,
+    count: usize,
+    length: Duration,
+    (domains, endpoints): (usize, usize),
+) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LATE_REPLY_SEED);
+    let latest = (length - FAULT_FREE_END).as_millis() as u64 - MAX_FAULT_MS;
+    let earliest = FIRST_FAULT_AFTER.as_millis() as u64;
+    let draw_one = |_| {
+        let other = rng.random_range(0..endpoints / domains);
+        let shard = if rng.random_bool(0.7) { 0 } else { other };
+        Fault {
+            at: Duration::from_millis(rng.random_range(earliest..latest)),
+            duration: Duration::from_millis(rng.random_range(MAX_FAULT_MS / 2..MAX_FAULT_MS)),
+            kind: FaultKind::LateReplies(shard),
+        }
+    };
+    (0..count).map(draw_one).collect()
+}
+
 /// Takes down each server that crashes for [`CRASH_DOWNTIME`]; runs until it is aborted.
 pub async fn play_crashes(world: Arc<World>) {
     let mut known = 0;
@@ -184,16 +213,20 @@
         FaultKind::Stop(host) => {
             let host = &world.hosts[host];
             let (disruption, intervention) = (host.disruptions.begin(), host.interventions.begin());
+            let stop = host.stops.begin();
             host.signal(Signal::SIGSTOP);
             tokio::time::sleep(fault.duration).await;
             host.signal(Signal::SIGCONT);
+            host.stops.end(stop);
             host.disruptions.end(disruption);
             host.interventions.end(intervention);
         }
-        FaultKind::Kill(host) => kill_and_restart(&world, &[host], fault.duration).await?,
+        FaultKind::Kill(host) => {
+            kill_and_restart(&world, &[host], fault.duration, Duration::ZERO).await?
+        }
         FaultKind::KillAll => {
             let all: Vec<usize> = (0..world.hosts.len()).collect();
-            kill_and_restart(&world, &all, fault.duration).await?;
+            kill_and_restart(&world, &all, fault.duration, Duration::ZERO).await?;
         }
         FaultKind::Term(host) => {
             let host = &world.hosts[host];
@@ -216,6 +249,20 @@
             tokio::time::sleep(fault.duration).await;
             world.endpoints[endpoint].server().set_mode(Mode::Answers);
         }
+        FaultKind::LateReplies(shard) => {
+            let domains = world.domains.len();
+            let endpoints = &world.endpoints[shard * domains..(shard + 1) * domains];
+            for endpoint in endpoints {
+                endpoint.server().set_mode(Mode::ShedsHalf);
+                endpoint.proxy.set_repeats_replies(true);
+            }
+            tokio::time::sleep(fault.duration).await;
+            for endpoint in endpoints {
+                endpoint.server().set_mode(Mode::Answers);
+                endpoint.proxy.set_repeats_replies(false);
+            }
+        }
+        FaultKind::Cold(start) => start.play(&world, fault.duration).await?,
         FaultKind::RateLimit(endpoint, per_s) => {
             let server = world.endpoints[endpoint].server();
             server.set_rate_limit(Some(per_s));
@@ -289,19 +336,23 @@
     }
 }
 
-/// Kills hosts at once and starts them again after some time.
+/// Kills hosts at once and starts them again after some time, the last ones first, within `spread` of
+/// each other.
 pub async fn kill_and_restart(
     world: &World,
     hosts: &[usize],
     downtime: Duration,
+    spread: Duration,
 ) -> io::Result<()> {
     let hosts = hosts.iter().map(|host| &world.hosts[*host]);
     let killed: Vec<_> =
         hosts.map(|host| (host, host.disruptions.begin(), host.interventions.begin())).collect();
     killed.iter().for_each(|(host, ..)| host.kill());
     tokio::time::sleep(downtime).await;
-    for (host, disruption, intervention) in killed {
+    let pause = spread / u32::try_from(killed.len()).unwrap_or(1).max(1);
+    for (host, disruption, intervention) in killed.into_iter().rev() {
         host.start()?;
+        tokio::time::sleep(pause).await;
         host.disruptions.end(disruption);
         host.interventions.end(intervention);
     }
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -7,6 +7,7 @@
 
 use crate::bounds;
 use crate::callers::{Answer, DEADLINE, Outcome, Route, SentRequest};
+use crate::cold;
 use crate::world::{COVERAGE_FLOOR, World, records, top_records};
 
 /// How long after its deadline an answer may still arrive, since the machine is shared.
@@ -40,6 +41,7 @@
     violations.extend(bounds::check(world, requests));
     violations.extend(bounds::check_rate_limits(world));
     violations.extend(bounds::check_crashes(world));
+    violations.extend(cold::check(world));
     let is_owed =
         |r: &&SentRequest| r.sent_at >= recovered_by && matches!(r.route, Route::All | Route::One);
     let after_recovery: Vec<&SentRequest> = requests.iter().filter(is_owed).collect();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod callers;
+mod cold;
 mod faults;
 mod invariants;
 mod periods;
@@ -73,6 +74,15 @@
     /// Number of losses of the hosts that read the store, with changes just after
     #[bpaf(long, argument("N"), fallback(0))]
     successions: usize,
+    /// Number of times that servers reject requests and send replies twice
+    #[bpaf(long, argument("N"), fallback(0))]
+    late_replies: usize,
+    /// Number of times that the servers of a shard become cold, most of them with a loss of hosts
+    #[bpaf(long, argument("N"), fallback(0))]
+    cold_starts: usize,
+    /// Number of callers that insist on each host, while there are cold starts
+    #[bpaf(long, argument("N"), fallback(4))]
+    insisting_callers: usize,
     /// Number of failure domains
     #[bpaf(long, argument("N"), fallback(2), guard(|n| (1..=4).contains(n), "give 1 to 4"))]
     domains: usize,
@@ -148,6 +158,9 @@
         (options.domains, endpoints),
     ));
     planned_faults.extend(succession::draw(seed, options.successions, length, endpoints));
+    let sizes = (options.domains, endpoints);
+    planned_faults.extend(faults::draw_late_replies(seed, options.late_replies, length, sizes));
+    planned_faults.extend(cold::draw(seed, options.cold_starts, length, (options.domains, hosts)));
     println!("seed {seed}: {}", summary(&planned_faults));
     let crashes = tokio::spawn(faults::play_crashes(world.clone()));
     let injections: Vec<_> = planned_faults
@@ -167,6 +180,11 @@
         let addr = (host.ip, CALLER_PORT).into();
         tokio::spawn(callers::probe(world.clone(), addr, rng, requests.clone(), stop_at))
     };
+    let insisting_caller = |n: usize| {
+        let addr = (world.hosts[n % hosts].ip, CALLER_PORT).into();
+        tokio::spawn(callers::insist(world.clone(), addr, n, requests.clone(), stop_at))
+    };
+    let insisting = if options.cold_starts > 0 { options.insisting_callers * hosts } else { 0 };
     let crashing_caller = |n: usize| {
         let rng = SmallRng::seed_from_u64(seed ^ !(n as u64) << 32);
         let stop_at = stop_at - faults::FAULT_FREE_END;
@@ -175,11 +193,12 @@
     let crashing: Vec<_> = (0..options.crashing_callers).map(crashing_caller).collect();
     let callers: Vec<_> =
         (0..options.callers).map(caller).chain(world.hosts.iter().enumerate().map(probe)).collect();
+    let insisting: Vec<_> = (0..insisting).map(insisting_caller).collect();
     let mut violations = Vec::new();
     for injection in injections {
         violations.extend(injection.await.map_err(std::io::Error::other)??);
     }
-    for caller in callers.into_iter().chain(crashing) {
+    for caller in callers.into_iter().chain(crashing).chain(insisting) {
         caller.await.map_err(std::io::Error::other)?;
     }
     crashes.abort();
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +14,8 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long open connections outlast the refusal of new ones.
 const REFUSE_FIRST: Duration = Duration::from_millis(40);
+/// One reply in this many on a connection is repeated, while replies are.
+const REPEATED_EVERY: usize = 3;
 /// The maximum size of a chunk; all replies of the stand-ins fit.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -34,12 +36,44 @@
     Refuse,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct State {
+    mode: LinkMode,
+    target: SocketAddr,
+    /// Whether some replies are sent once more, late.
+    repeats_replies: bool,
+}
+
 /// A proxy in front of one address; clones share its state.
 #[derive(Debug, Clone)]
 pub struct Proxy {
     /// The address on which it listens.
     pub addr: SocketAddr,
-    state: Arc<Mutex<(LinkMode, SocketAddr)>>,
+    state: Arc<Mutex<State>>,
+}
+
+/// The last reply on a connection, which may be sent once more before the next one. A connection
+/// carries one request at a time, so that a reply is what is sent between two requests.
+#[derive(Debug, Default)]
+struct LastReply {
+    bytes: Vec<u8>,
+    replies: usize,
+    /// A request was forwarded since.
+    is_complete: bool,
+}
+
+impl LastReply {
+    /// Adds a part of a reply. Returns what is to be sent before it.
+    fn on_reply(&mut self, part: &[u8], repeats: bool) -> Option<Vec<u8>> {
+        let mut copy = None;
+        if std::mem::take(&mut self.is_complete) {
+            self.replies += 1;
+            let last = std::mem::take(&mut self.bytes);
+            copy = Some(last).filter(|_| repeats && self.replies.is_multiple_of(REPEATED_EVERY));
+        }
+        self.bytes.extend_from_slice(part);
+        copy
+    }
 }
 
 impl Proxy {
@@ -47,7 +81,8 @@
     pub async fn start(ip: Ipv4Addr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let addr = listener.local_addr()?;
-        let proxy = Self { addr, state: Arc::new(Mutex::new((LinkMode::Whole, target))) };
+        let state = State { mode: LinkMode::Whole, target, repeats_replies: false };
+        let proxy = Self { addr, state: Arc::new(Mutex::new(state)) };
         tokio::spawn(proxy.clone().accept(listener));
         Ok(proxy)
     }
@@ -72,32 +107,42 @@
     }
 
     async fn wait_while(&self, holds: impl Fn(LinkMode) -> bool) {
-        while holds(self.state().0) {
+        while holds(self.state().mode) {
             tokio::time::sleep(RECHECK_INTERVAL).await;
         }
     }
 
     /// Sets how the proxy handles traffic, also on open connections.
     pub fn set_mode(&self, mode: LinkMode) {
-        self.state.lock().expect("no holder of the lock panics").0 = mode;
+        self.lock().mode = mode;
     }
 
     /// Sets the address to which new connections are forwarded.
     pub fn set_target(&self, target: SocketAddr) {
-        self.state.lock().expect("no holder of the lock panics").1 = target;
+        self.lock().target = target;
+    }
+
+    /// Sets whether some replies are sent once more, where the next reply is expected.
+    pub fn set_repeats_replies(&self, repeats: bool) {
+        self.lock().repeats_replies = repeats;
     }
 
-    fn state(&self) -> (LinkMode, SocketAddr) {
-        *self.state.lock().expect("no holder of the lock panics")
+    fn state(&self) -> State {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
     }
 
     async fn forward(self, downstream: TcpStream) {
-        let Ok(upstream) = TcpStream::connect(self.state().1).await else { return };
+        let Ok(upstream) = TcpStream::connect(self.state().target).await else { return };
         let ((downstream_in, downstream_out), (upstream_in, upstream_out)) =
             (downstream.into_split(), upstream.into_split());
+        let last_reply = Mutex::default();
         tokio::select! {
-            () = self.forward_one_way(downstream_in, upstream_out, false) => {}
-            () = self.forward_one_way(upstream_in, downstream_out, true) => {}
+            () = self.forward_one_way(downstream_in, upstream_out, false, &last_reply) => {}
+            () = self.forward_one_way(upstream_in, downstream_out, true, &last_reply) => {}
         }
     }
 
@@ -106,6 +151,7 @@
         mut from: impl AsyncReadExt + Unpin,
         mut to: impl AsyncWriteExt + Unpin,
         is_reply: bool,
+        last_reply: &Mutex<LastReply>,
     ) {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
@@ -115,7 +161,7 @@
             };
             let Ok(length @ 1..) = read else { return };
             loop {
-                match self.state().0 {
+                match self.state().mode {
                     LinkMode::Whole => break,
                     LinkMode::Slow => {
                         tokio::time::sleep(ADDED_DELAY).await;
@@ -128,7 +174,19 @@
                     LinkMode::Reset | LinkMode::Refuse => return,
                 }
             }
-            if to.write_all(&buffer[..length]).await.is_err() {
+            let part = &buffer[..length];
+            let copy = {
+                let mut last = last_reply.lock().expect("no holder of the lock panics");
+                if is_reply {
+                    last.on_reply(part, self.state().repeats_replies)
+                } else {
+                    last.is_complete = true;
+                    None
+                }
+            };
+            if to.write_all(&copy.unwrap_or_default()).await.is_err()
+                || to.write_all(part).await.is_err()
+            {
                 return;
             }
         }
@@ -136,7 +194,7 @@
 
     async fn wait_for_reset(&self) {
         self.wait_while(|mode| !matches!(mode, LinkMode::Reset | LinkMode::Refuse)).await;
-        if self.state().0 == LinkMode::Refuse {
+        if self.state().mode == LinkMode::Refuse {
             tokio::time::sleep(REFUSE_FIRST).await;
         }
     }
--- a/soak/src/succession.rs
+++ b/soak/src/succession.rs
@@ -89,7 +89,9 @@
     async fn lose_hosts(self, world: &World, lasts: Duration) -> io::Result<()> {
         let readers = world.readers(CALL_TIME);
         match self.loss {
-            Loss::ReadersKilled => faults::kill_and_restart(world, &readers, lasts).await?,
+            Loss::ReadersKilled => {
+                faults::kill_and_restart(world, &readers, lasts, Duration::ZERO).await?
+            }
             Loss::TurnedAway(manner, share) => {
                 // Hosts are dealt to the domains in turn.
                 let first = (world.hosts.len() as f64 * share) as usize;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -56,6 +56,8 @@
     pub disruptions: Periods,
     /// The periods in which the host was started, signalled or without its process.
     pub interventions: Periods,
+    /// The periods in which the process was stopped, to be continued.
+    pub stops: Periods,
 }
 
 impl Host {
@@ -153,6 +155,8 @@
     pub server: Mutex<Server>,
     /// The periods in which connections to the server were disrupted.
     pub link_disruptions: Periods,
+    /// The end of its cold start.
+    cold_until: Mutex<Option<Instant>>,
 }
 
 impl Endpoint {
@@ -165,9 +169,30 @@
     pub fn entry(&self, draining: bool) -> (String, Value) {
         let server = self.server();
         let (service, born_ms) = (&server.service, server.born_ms);
-        let entry = settings::server(service, self.proxy.addr, self.domain, draining, born_ms);
+        let mut entry = settings::server(service, self.proxy.addr, self.domain, draining, born_ms);
+        let cold_until = *self.cold_until.lock().expect("no holder of the lock panics");
+        if let Some(until) = cold_until {
+            let left = until.saturating_duration_since(Instant::now());
+            settings::set_cold(&mut entry, left.as_millis() as u64);
+        }
         (settings::server_key(&server.id), entry)
     }
+
+    /// Makes the server cold at least until a moment, which its next entry says.
+    pub fn extend_cold(&self, until: Instant) {
+        let mut cold_until = self.cold_until.lock().expect("no holder of the lock panics");
+        *cold_until = Some(cold_until.map_or(until, |known| known.max(until)));
+    }
+
+    /// Ends a cold start; returns whether no later one goes on.
+    pub fn end_cold(&self, until: Instant) -> bool {
+        let mut cold_until = self.cold_until.lock().expect("no holder of the lock panics");
+        if cold_until.is_some_and(|known| known > until) {
+            return false;
+        }
+        *cold_until = None;
+        true
+    }
 }
 
 /// A rate limit that a server stated for some time.
@@ -179,6 +204,14 @@
     pub until: Instant,
 }
 
+/// A time in which a server was cold, from the store's acknowledgement on.
+#[derive(Debug)]
+pub struct ColdPeriod {
+    pub server: String,
+    pub from: Instant,
+    pub until: Instant,
+}
+
 /// How many parts a run has.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -204,6 +237,8 @@
     pub request_log: RequestLog,
     /// The rate limits that have ended.
     pub rate_limits: Mutex<Vec<RateLimit>>,
+    /// The cold starts that have ended.
+    pub cold_periods: Mutex<Vec<ColdPeriod>>,
     pub shards: Vec<String>,
     pub standin_ip: Ipv4Addr,
 }
@@ -275,6 +310,7 @@
                     proxy,
                     server: Mutex::new(server),
                     link_disruptions: Periods::default(),
+                    cold_until: Mutex::default(),
                 };
                 let (key, entry) = endpoint.entry(false);
                 writers.write(&key, Some(entry)).await;
@@ -314,6 +350,7 @@
                 starts: Mutex::default(),
                 disruptions: Periods::default(),
                 interventions: Periods::default(),
+                stops: Periods::default(),
             };
             host.start()?;
             Ok(host)
@@ -329,6 +366,7 @@
             store_disruptions: Periods::default(),
             request_log,
             rate_limits: Mutex::default(),
+            cold_periods: Mutex::default(),
             shards,
             standin_ip,
         }))
--- a/soak/src/writers.rs
+++ b/soak/src/writers.rs
@@ -12,6 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
+use crate::cold::COLD_PER_S;
 use crate::timeline::{Bounds, Timeline};
 use crate::world::{COVERAGE_FLOOR, RECORD_COUNT};
 
@@ -65,6 +66,7 @@
             let mut state = self.lock();
             let number = state.newest_plan;
             let mut plan = settings::plan(number, shards, RECORD_COUNT, COVERAGE_FLOOR);
+            settings::set_cold_limit(&mut plan, COLD_PER_S);
             settings::add_idle_routes(&mut plan, self.idle_routes, shards);
             state.newest_plan += 1;
             state.wanted.insert(PLAN_KEY.to_owned(), Some(plan));
