Use no part of the fixed retry allowance before other hosts are known

Cause: the allowance for extra attempts of all hosts is divided by the number of known hosts. Change: a host that knows no other one, and can't tell yet whether there are any, retries within the ratio of its own requests only. Fixtures of single hosts say that they know the fleet.

--- a/src/process/budgets/extra_attempt_budget.rs
+++ b/src/process/budgets/extra_attempt_budget.rs
@@ -55,8 +55,9 @@
     }
 
     /// Spends one extra attempt from the budget of a service; returns whether it was available.
-    /// `hosts` is the number of hosts that share the allowance.
-    pub fn try_spend(&mut self, now: Monotonic, service: &ServiceId, hosts: usize) -> bool {
+    /// `hosts` is the number of hosts that share the allowance, or `None` if it is not known yet; the
+    /// allowance can't be used then.
+    pub fn try_spend(&mut self, now: Monotonic, service: &ServiceId, hosts: Option<usize>) -> bool {
         let limit = self.limit;
         let newest = self.bucket(now, service).number;
         let buckets = &self.services[service];
@@ -67,7 +68,7 @@
         let extra: u32 = buckets.iter().map(|bucket| bucket.extra).sum();
         // An earlier incarnation of this process may have spent its share in the same window.
         let share = if now < limit.window { FIRST_WINDOW_SHARE } else { 1.0 };
-        let allowance = limit.allowance * share / hosts.max(1) as f64;
+        let allowance = hosts.map_or(0.0, |hosts| limit.allowance * share / hosts.max(1) as f64);
         let allowed = f64::from(first).mul_add(limit.ratio, allowance);
         let granted = f64::from(extra) + 1.0 <= allowed;
         if granted && !flawed!(ExtraAttemptUncounted) {
--- a/src/process/budgets/extra_attempt_budget/tests.rs
+++ b/src/process/budgets/extra_attempt_budget/tests.rs
@@ -12,11 +12,19 @@
     struct Case {
         hosts: usize,
         requests_per_s: u64,
+        /// How long there are requests.
+        load_ms: u64,
+        /// The hosts do not know each other for this long.
+        discovery_ms: u64,
     }
     let cases = [
-        Case { hosts: 1, requests_per_s: 5 },
-        Case { hosts: 7, requests_per_s: 20 },
-        Case { hosts: 60, requests_per_s: 1 },
+        Case { hosts: 1, requests_per_s: 5, load_ms: 40_000, discovery_ms: 0 },
+        Case { hosts: 7, requests_per_s: 20, load_ms: 40_000, discovery_ms: 0 },
+        Case { hosts: 60, requests_per_s: 1, load_ms: 40_000, discovery_ms: 0 },
+        // Guards against hosts that have started together and each use the whole allowance, because
+        // they have not heard of the others yet.
+        Case { hosts: 7, requests_per_s: 200, load_ms: 500, discovery_ms: 500 },
+        Case { hosts: 80, requests_per_s: 100, load_ms: 1_000, discovery_ms: 1_000 },
     ];
     for case in cases {
         let service = ServiceId::from("s");
@@ -25,12 +33,14 @@
         let mut sent: Vec<(Monotonic, u64, u64)> = Vec::new();
         for ms in (0..40_000).step_by(100) {
             let now = Duration::from_millis(ms);
+            let hosts = (ms >= case.discovery_ms).then_some(case.hosts);
             let (mut first, mut extra) = (0, 0);
             for budget in &mut budgets {
-                for _ in 0..case.requests_per_s.div_ceil(10) {
+                let load = if ms < case.load_ms { case.requests_per_s.div_ceil(10) } else { 0 };
+                for _ in 0..load {
                     budget.on_first(now, &service);
                     first += 1;
-                    extra += u64::from(budget.try_spend(now, &service, case.hosts));
+                    extra += u64::from(budget.try_spend(now, &service, hosts));
                 }
             }
             sent.push((now, first, extra));
@@ -51,7 +61,7 @@
     let service = ServiceId::from("s");
     let mut budget = ExtraAttemptBudget::new(LIMIT);
     let spend_all = |budget: &mut ExtraAttemptBudget, now| {
-        (0..100).filter(|_| budget.try_spend(now, &service, 1)).count()
+        (0..100).filter(|_| budget.try_spend(now, &service, Some(1))).count()
     };
     let now = LIMIT.window * 3;
     assert_eq!(spend_all(&mut budget, now), 50);
--- a/src/process/membership/members.rs
+++ b/src/process/membership/members.rs
@@ -273,6 +273,13 @@
 }
 
 impl FleetView {
+    /// Returns the number of hosts by which limits on all hosts are divided, or `None` if this host
+    /// knows no other one and can't tell yet whether there are any.
+    pub fn sharing_hosts(&self) -> Option<usize> {
+        let may_have_others = self.known_hosts <= 1 && self.knowledge == FleetKnowledge::Unknown;
+        (!may_have_others).then_some(self.known_hosts)
+    }
+
     /// Returns the number of known hosts in a failure domain, by which its limits are divided.
     pub fn known_hosts_in(&self, domain: DomainIndex) -> usize {
         self.known_hosts_in
--- a/src/process/membership/members/tests.rs
+++ b/src/process/membership/members/tests.rs
@@ -557,8 +557,13 @@
     let knowledge = |net: &Net, n: usize| {
         net.hosts[n].as_ref().expect("the host is up").view(net.now).knowledge
     };
+    let sharing = |net: &Net, n: usize| {
+        net.hosts[n].as_ref().expect("the host is up").view(net.now).sharing_hosts()
+    };
+    assert_eq!(sharing(&net, 5), None);
     net.run(Duration::from_millis(1_500), 0.0);
     assert_eq!(knowledge(&net, 5), FleetKnowledge::Unknown);
+    assert_eq!(sharing(&net, 5), Some(8));
     net.run(Duration::from_millis(3_000), 0.0);
     assert_eq!(knowledge(&net, 5), FleetKnowledge::Known);
 
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -523,7 +523,7 @@
     let now = tier.now();
     let reset_at_once = now.saturating_sub(began_at) < STALE_RESET_WITHIN;
     let idempotent = job.route.repeat == Idempotency::Idempotent;
-    let sharing = tier.fleet.load().known_hosts;
+    let sharing = tier.fleet.load().sharing_hosts();
     reset_at_once && idempotent && tier.extra().try_spend(now, &record.service, sharing)
 }
 
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -211,7 +211,7 @@
 /// Takes an extra attempt at each shard out of the budget, since servers may have run the request;
 /// returns whether all were available.
 fn take_repeat_from_budget<B: BackendProtocol>(tier: &Tier<B>, rule: &GatherRule) -> bool {
-    let (now, sharing) = (tier.now(), tier.fleet.load().known_hosts);
+    let (now, sharing) = (tier.now(), tier.fleet.load().sharing_hosts());
     let mut extra = tier.extra();
     rule.shards.iter().all(|shard| extra.try_spend(now, shard, sharing))
 }
--- a/src/request/scatter.rs
+++ b/src/request/scatter.rs
@@ -285,7 +285,7 @@
         if run.send_count() == 0 {
             self.tier.extra().on_first(now, service);
         } else if run.is_extra() {
-            let sharing = self.tier.fleet.load().known_hosts;
+            let sharing = self.tier.fleet.load().sharing_hosts();
             if !self.tier.extra().try_spend(now, service, sharing) {
                 run.cancel_check();
                 return None;
--- a/src/request/single.rs
+++ b/src/request/single.rs
@@ -223,7 +223,7 @@
     receiver: &Receiver,
 ) -> bool {
     let now = tier.now();
-    let sharing = tier.fleet.load().known_hosts;
+    let sharing = tier.fleet.load().sharing_hosts();
     let mut extra = tier.extra();
     if run.send_count() == 0 {
         // The sender has taken the attempt of a forwarded request out of its budget.
--- a/src/stateful/property_tests.rs
+++ b/src/stateful/property_tests.rs
@@ -397,7 +397,7 @@
         if rng.random_bool(0.5) {
             host.on_first(now, &service);
             first_attempts.push(now);
-        } else if host.try_spend(now, &service, HOSTS) {
+        } else if host.try_spend(now, &service, Some(HOSTS)) {
             extra_attempts.push(now);
         }
         let count_in_window = |times: &[Duration], end: Duration| {
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -15,6 +15,8 @@
 use quetzalpoint::ids::{RegionId, ServerId, ServiceId};
 use quetzalpoint::position::Position;
 use quetzalpoint::process::budgets::extra_attempt_budget::ExtraAttemptLimit;
+use quetzalpoint::process::membership::discovery::FleetKnowledge;
+use quetzalpoint::process::membership::members::FleetView;
 use quetzalpoint::process::servers::registry::{Change, Fact, Registry, ServerRecord};
 use quetzalpoint::process::tier::{Tier, TierSettings};
 use quetzalpoint::request::entry::{Request, Served, serve};
@@ -464,6 +466,9 @@
             lapse_time: LAPSE_TIME,
         };
         let tier = Arc::new(Tier::new(settings, servers.clone()));
+        // It has run for long enough to know that there is no other host.
+        let knowledge = FleetKnowledge::Known;
+        tier.fleet.store(Arc::new(FleetView { known_hosts: 1, knowledge, ..FleetView::default() }));
         let route = |id: &str, repeat, target| Route {
             id: id.into(),
             host: HTTP_HOST.into(),
