Show in logs and metrics whether a host knows the fleet

Cause: on-call could not tell a host that waits for the fleet from one whose servers are lost. Change: the log line "knowledge of the fleet changed", the metrics knows_fleet and cold_limited. Measured: nothing; no decision is changed.

--- a/src/process/membership/heartbeat_transport.rs
+++ b/src/process/membership/heartbeat_transport.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::UdpSocket;
 
+use super::discovery::FleetKnowledge;
 use super::members::{Gossip, Heartbeat, SAME_DOMAIN_GOSSIP_INTERVAL};
 use crate::connection::exchange::BackendProtocol;
 use crate::process::quarantine::SuspectReport;
@@ -144,6 +145,11 @@
     for heartbeat in before.up.iter().filter(|h| !has(&view.up, h.ip)) {
         tracing::info!(host = %heartbeat.ip, life = heartbeat.life, "host is considered down");
     }
+    if before.knowledge != view.knowledge {
+        let knowledge = view.knowledge;
+        tracing::info!(?knowledge, hosts_up = view.up.len(), "knowledge of the fleet changed");
+        tier.metrics.knows_fleet(knowledge == FleetKnowledge::Known);
+    }
 }
 
 async fn send<B: BackendProtocol>(
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -26,6 +26,8 @@
     rate_limit_changes: Counter<u64>,
     rate_limited: Counter<u64>,
     rate_limited_servers: Gauge<u64>,
+    cold_limited: Counter<u64>,
+    knows_fleet: Gauge<u64>,
     quarantines: Counter<u64>,
     quarantined_requests: Gauge<u64>,
     cut_offs: Counter<u64>,
@@ -97,6 +99,14 @@
                 .u64_gauge("rate_limited_servers")
                 .with_description("Backend servers with a rate limit in force")
                 .build(),
+            cold_limited: meter
+                .u64_counter("cold_limited")
+                .with_description("Times that a server was not used because it is cold, by service")
+                .build(),
+            knows_fleet: meter
+                .u64_gauge("knows_fleet")
+                .with_description("1 if this host knows which other hosts are up, 0 otherwise")
+                .build(),
             quarantines: meter
                 .u64_counter("quarantines")
                 .with_description("Times that a request was quarantined because servers crash that run it")
@@ -177,6 +187,14 @@
         self.rate_limited_servers.record(count, &[]);
     }
 
+    pub(crate) fn cold_limited(&self, service: &str) {
+        self.cold_limited.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    pub(crate) fn knows_fleet(&self, known: bool) {
+        self.knows_fleet.record(known.into(), &[]);
+    }
+
     pub(crate) fn quarantine(&self) {
         self.quarantines.add(1, &[]);
     }
--- a/src/process/tier.rs
+++ b/src/process/tier.rs
@@ -217,9 +217,13 @@
 
     /// Returns whether the cold-start limit of a server allows this host to send to it.
     pub fn has_cold_token(&self, server: &LiveServer) -> bool {
-        self.cold_rate_limit(server).is_none_or(|(per_s, share)| {
+        let allowed = self.cold_rate_limit(server).is_none_or(|(per_s, share)| {
             self.cold_rate_limiter().has_token(self.now(), &server.record.id, per_s, share)
-        })
+        });
+        if !allowed {
+            self.metrics.cold_limited(&server.record.service);
+        }
+        allowed
     }
 
     /// Counts a request about to be sent to a server against its cold-start limit; returns whether
