--- a/src/process/servers/cold_rate_limit.rs
+++ b/src/process/servers/cold_rate_limit.rs
@@ -4,7 +4,7 @@
 //! While another host takes over, or in a partition, two hosts may take themselves for the selected
 //! one, so a host uses at most two thirds of the published limit: two senders exceed it by a third,
 //! and servers tolerate an excess of one half. A host that does not know the fleet yet can't tell
-//! whether it is the only one; only hosts that all others contact first send meanwhile. See
+//! whether it is the only one; meanwhile one of the seeds sends, since all hosts know these. See
 //! `docs/PLATFORM.md`, section "Cold servers".
 
 use std::collections::HashMap;
