--- a/src/connection/server_pool.rs
+++ b/src/connection/server_pool.rs
@@ -173,7 +173,7 @@
 
 impl<L: Exchange> ConnectionPermit<L> {
     /// Records that the connection has carried a request that may be sent again.
-    pub fn on_unanswered(&mut self, request: &str) {
+    pub fn record_carried(&mut self, request: &str) {
         self.carried.record(request);
     }
 
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -422,7 +422,7 @@
             tier.on_server_reached(&record.service);
         }
         if !matches!(&exchanged, ExchangeResult::Reply(reply) if reply.is_success()) {
-            slot.on_unanswered(request);
+            slot.record_carried(request);
         }
         if let Some(may_idle) = link.keep_alive_time() {
             slot.return_to_pool(tier.now(), link, began_at, may_idle);
