--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod record;
 mod store;
+mod switching;
 mod unsigned;
 mod upload;
 
@@ -35,6 +36,7 @@
         "unsigned" => unsigned::run(&record, trouble),
         "upload" => upload::run(&record, trouble),
         "cold" => cold::run(&record, trouble),
+        "switching" => switching::run(&record, trouble),
         _ => Err(format!("no case is named {name}")),
     };
     let code = match result {
