--- a/review/kit-2/http.rs
+++ b/review/kit-2/http.rs
@@ -103,7 +103,13 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
     stream.write_all(request)?;
-    Message::read(&mut BufReader::new(stream))
+    let mut reader = BufReader::new(stream);
+    let message = Message::read(&mut reader)?;
+    if (100..200).contains(&message.status()) {
+        // A final answer should follow.
+        return Message::read(&mut reader).or(Ok(message));
+    }
+    Ok(message)
 }
 
 /// Encodes bytes as base64 with padding.
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -4,13 +4,13 @@
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the case runs without
 //! its disruption.
 
+mod blobs;
 mod cold;
 mod daemon;
 mod endless;
 mod http;
 mod record;
 mod store;
-mod switching;
 mod unsigned;
 mod upload;
 
@@ -36,7 +36,7 @@
         "unsigned" => unsigned::run(&record, trouble),
         "upload" => upload::run(&record, trouble),
         "cold" => cold::run(&record, trouble),
-        "switching" => switching::run(&record, trouble),
+        "blobs" => blobs::run(&record, trouble),
         _ => Err(format!("no case is named {name}")),
     };
     let code = match result {
--- a/review/kit-2/unsigned.rs
+++ b/review/kit-2/unsigned.rs
@@ -1,5 +1,6 @@
-//! A server spoils some of its answers: what it sends is a complete HTTP message without the
-//! signature, so no answer in the protocol.
+//! A server spoils some of its answers: what it sends is a complete HTTP message, but no answer in
+//! the protocol. By turns it is a success without the signature, and a message that is not final,
+//! as if the connection changed its protocol.
 
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -34,8 +35,14 @@
         thread::sleep(Duration::from_millis(20));
         if faulty && run.is_multiple_of(SPOILED_ONE_IN) {
             record.line(&format!("server {id} spoils its answer to {name}"));
-            let fields = [("Request-Id", name)];
-            stream.write_all(&reply("200 OK", &fields, b"spoiled"))?;
+            if (run / SPOILED_ONE_IN).is_multiple_of(2) {
+                let fields = [("Request-Id", name)];
+                stream.write_all(&reply("200 OK", &fields, b"spoiled"))?;
+            } else {
+                let head =
+                    format!("HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {name}\r\n\r\n");
+                stream.write_all(head.as_bytes())?;
+            }
             return Ok(true);
         }
         let stamp = format!("{id}.{name}");
@@ -76,23 +83,24 @@
         let (front, record) = (machines[n % MACHINES.len()].front(), record.clone());
         callers.push(thread::spawn(move || call(front, n, until, &record)));
     }
-    let (mut answered, mut unsigned) = (0, 0);
+    let (mut answered, mut unsigned, mut unanswered) = (0, 0, 0);
     for caller in callers {
         let counts = caller.join().unwrap();
         answered += counts.0;
         unsigned += counts.1;
+        unanswered += counts.2;
     }
-    record.line(&format!("successes: {answered}, of these without a signature: {unsigned}"));
+    record.line(&format!("successes: {answered}, of these without a signature: {unsigned}; no answer but 101: {unanswered}"));
     if answered == 0 {
         return Err("no request was answered".to_owned());
     }
-    Ok(unsigned > 0)
+    Ok(unsigned + unanswered > 0)
 }
 
-/// Sends one request after another; returns how many successes there were, and how many of them
-/// had no signature of a server for this request.
-fn call(front: SocketAddr, caller: usize, until: Instant, record: &Record) -> (u32, u32) {
-    let (mut answered, mut unsigned, mut n) = (0, 0, 0);
+/// Sends one request after another; returns how many successes there were, how many of them had no
+/// signature of a server for this request, and how many requests got no answer but 101.
+fn call(front: SocketAddr, caller: usize, until: Instant, record: &Record) -> (u32, u32, u32) {
+    let (mut answered, mut unsigned, mut unanswered, mut n) = (0, 0, 0, 0);
     while Instant::now() < until {
         n += 1;
         let id = format!("c{caller}-{n}");
@@ -113,10 +121,14 @@
                     ));
                 }
             }
+            Ok(answer) if answer.status() == 101 => {
+                unanswered += 1;
+                record.line(&format!("{id} at {front}: 101, and the connection ends"));
+            }
             Ok(answer) => record.line(&format!("{id} at {front}: {}", answer.status())),
             Err(error) => record.line(&format!("{id} at {front}: {error}")),
         }
         thread::sleep(Duration::from_millis(20));
     }
-    (answered, unsigned)
+    (answered, unsigned, unanswered)
 }
