--- a/review/kit-2/upload.rs
+++ b/review/kit-2/upload.rs
@@ -13,12 +13,12 @@
 
 const MACHINES: [Ipv4Addr; 2] = [Ipv4Addr::new(127, 60, 8, 1), Ipv4Addr::new(127, 60, 8, 2)];
 const DEADLINE_MS: u64 = 8_000;
-const LENGTH: Duration = Duration::from_secs(50);
+const LENGTH: Duration = Duration::from_secs(60);
 const ENDS: u32 = 3;
 /// The length of a body: less than `max_body_bytes`, which is 262,144.
 const BODY_BYTES: usize = 256_000;
 /// The number of callers at each machine that send such bodies, one after another.
-const UPLOADERS: usize = 4;
+const UPLOADERS: usize = 12;
 /// A record of 16 bytes, as a chunk.
 const CHUNK: &[u8] = b"10\r\nabcdefghijklmnop\r\n";
 const PAUSE: Duration = Duration::from_micros(50);
