Limit what all clients together hold of a process

Callers saw a process end for lack of memory, or lost every place among its connections, while other clients sent many large bodies, stopped just short of their end and stayed.

Cause: max_body_bytes limits one body and nothing limited their sum. The number of callers followed from the descriptors alone, and those of the directory, the readiness check and the metrics were not limited at all. A body had no time limit, a frame of a few bytes kept its whole read buffer, the system received behind a request that nobody read, and an answer that its caller did not read was held for ever.

Now all of it is counted in one place (process/clients.rs), from the memory and the descriptors in the settings. What can't be served (no route, too long, no room) is rejected before its body is read. The caller's time now counts from the head of its request, not from the end of its body.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -34,6 +34,9 @@
     reads_platform: Gauge<u64>,
     source_failures: Counter<u64>,
     forwarded: Counter<u64>,
+    clients_turned_away: Counter<u64>,
+    client_memory: Gauge<u64>,
+    client_connections: Gauge<u64>,
 }
 
 impl Metrics {
@@ -131,6 +134,18 @@
                 .u64_counter("forwarded")
                 .with_description("Requests forwarded to other hosts, by outcome")
                 .build(),
+            clients_turned_away: meter
+                .u64_counter("clients_turned_away")
+                .with_description("Clients that were refused or closed, by kind of client and cause")
+                .build(),
+            client_memory: meter
+                .u64_gauge("client_memory_bytes")
+                .with_description("Memory that clients hold, by what for: request or reply")
+                .build(),
+            client_connections: meter
+                .u64_gauge("client_connections")
+                .with_description("Connections of clients, by kind of client")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -219,6 +234,19 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    pub(crate) fn client_turned_away(&self, client: &'static str, cause: &'static str) {
+        let labels = [KeyValue::new("client", client), KeyValue::new("cause", cause)];
+        self.clients_turned_away.add(1, &labels);
+    }
+
+    pub(crate) fn client_memory(&self, of: &'static str, bytes: u64) {
+        self.client_memory.record(bytes, &[KeyValue::new("of", of)]);
+    }
+
+    pub(crate) fn client_connections(&self, client: &'static str, count: u64) {
+        self.client_connections.record(count, &[KeyValue::new("client", client)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 //! interface (`quetzald`), with seats and leases.
 
 pub mod budgets;
+pub mod clients;
 pub mod configuration;
 pub(crate) mod context;
 pub(crate) mod keeper;
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -19,7 +19,7 @@
 use crate::process::membership::members::Phase;
 use crate::process::quarantine::Refusal;
 use crate::process::tier::Tier;
-use crate::version::plan::{GatherRule, Route, Target};
+use crate::version::plan::{GatherRule, Plan, Route, Target};
 
 /// Time subtracted from the latency target, which counts from the moment the caller starts to
 /// connect: two or three transits between caller and host, timer delays and merging. A few missing
@@ -47,6 +47,8 @@
     pub call: Call,
     /// How long the caller waits, if it sent a deadline.
     pub timeout: Option<Duration>,
+    /// When the head of the request arrived, from which the caller's time counts.
+    pub received_at: Monotonic,
 }
 
 /// The answer to a caller.
@@ -75,6 +77,11 @@
         Self { outcome, retry_after: CUT_OFF_RETRY_AFTER.mul_f64(1.0 + rand::random::<f64>()) }
     }
 
+    /// Returns the refusal of a request for which this host has no room.
+    pub fn overloaded() -> Self {
+        Self::of(Outcome::NotRun(NotRunReason::Overloaded))
+    }
+
     fn of(outcome: Outcome<Answer>) -> Self {
         let least = match outcome {
             Outcome::NotRun(NotRunReason::Unreachable | NotRunReason::NotReady) => {
@@ -86,25 +93,59 @@
     }
 }
 
-/// Serves one request; dropping the future cancels all its work.
-pub async fn serve<B: BackendProtocol>(tier: &Arc<Tier<B>>, request: Request) -> Served {
-    let _running = tier.track_running();
-    let plan = tier.plan.load_full();
-    let began_at = tier.now();
+/// Returns by when the body of a request must be complete, or the answer if the request would be
+/// refused anyway. `timeout` is how long the caller waits.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub fn body_deadline<B: BackendProtocol>(
+    tier: &Tier<B>,
+    call: &Call,
+    timeout: Option<Duration>,
+    received_at: Monotonic,
+) -> Result<Monotonic, Box<Served>> {
+    let plan = tier.plan.load();
+    let route = find_route(tier, &plan, call)?;
+    let deadline = received_at + timeout.unwrap_or(route.timeout).min(route.timeout);
+    if !tier.shutdown.admits(received_at, deadline) {
+        return Err(Box::new(Served::elsewhere(Outcome::NotRun(NotRunReason::NotReady))));
+    }
+    Ok(deadline)
+}
+
+/// Returns the route of a request, or the answer to one that has none.
+fn find_route<'a, B: BackendProtocol>(
+    tier: &Tier<B>,
+    plan: &'a Plan,
+    call: &Call,
+) -> Result<&'a Arc<Route>, Box<Served>> {
     if plan.version == 0 {
-        return Served::of(Outcome::NotRun(NotRunReason::NotReady));
+        return Err(Box::new(Served::of(Outcome::NotRun(NotRunReason::NotReady))));
     }
-    let path = request.call.path.split('?').next().unwrap_or_default();
-    let Some(route) = plan.route(&request.call.host, path) else {
+    let path = call.path.split('?').next().unwrap_or_default();
+    plan.route(&call.host, path).ok_or_else(|| {
         let outdated = tier.plan_may_be_outdated();
         tracing::info!(
-            request = %request.call.request_id, host = %request.call.host, path,
+            request = %call.request_id, host = %call.host, path,
             version = plan.version, outdated, "no route matches the request"
         );
-        if outdated {
-            return Served::of(Outcome::NotRun(NotRunReason::NotReady));
-        }
-        return Served::of(Outcome::Answered(Answer::NoRoute));
+        let outcome = match outdated {
+            true => Outcome::NotRun(NotRunReason::NotReady),
+            false => Outcome::Answered(Answer::NoRoute),
+        };
+        Box::new(Served::of(outcome))
+    })
+}
+
+/// Serves one request; dropping the future cancels all its work.
+pub async fn serve<B: BackendProtocol>(tier: &Arc<Tier<B>>, request: Request) -> Served {
+    let _running = tier.track_running();
+    let plan = tier.plan.load_full();
+    let began_at = request.received_at;
+    let route = match find_route(tier, &plan, &request.call) {
+        Ok(route) => route,
+        Err(refused) => return *refused,
     };
     let job = Arc::new(job(tier, route.clone(), request, began_at, plan.order()));
     if !tier.shutdown.admits(began_at, job.deadline) {
--- a/tests/tier/fake.rs
+++ b/tests/tier/fake.rs
@@ -555,6 +555,7 @@
                 request_id: format!("r{}", self.next_request).into(),
             },
             timeout: Some(Duration::from_secs(2)),
+            received_at: self.tier.now(),
         }
     }
 
