Count and limit the connections and frames of other hosts

Anyone who reaches the port of hosts could end a process: a connection was kept for ever, and a frame of 4 MB was received in full and held however many there were.

Cause: the listener had no limit of connections, and frames had neither a time nor a sum. Bodies on their way to other hosts and answers on their way back were copied for each host, outside of any count.

Connections of hosts are now registered like those of clients, frames longer than 16 KiB reserve their memory when their length is known, and a frame must be complete, and read by the other side, within ten seconds. Requests that other hosts send count like those of callers and are declined as overloaded when there is no room, which lets the sender try elsewhere. Bodies in frames share the bytes of the request or the reply.

The frames are unchanged: a test compares their bytes with the structures of the build before.

--- a/src/connection/peer_frame.rs
+++ b/src/connection/peer_frame.rs
@@ -5,19 +5,24 @@
 //! several answer frames, which the request-reply calls of `tarpc` do not support; see
 //! `docs/PLATFORM.md`, section "Relays".
 
-use hyper::body::Bytes;
+use std::io;
+use std::sync::Arc;
+
+use bytes::{Buf, Bytes, BytesMut};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
 use super::exchange::{Call, Signature};
 use crate::ids::{ConfigVersion, RequestId, Revision, ServerId, ServiceId};
 use crate::outcome::Outcome;
 use crate::position::{Epochs, PlanOrder};
+use crate::process::budgets::memory_budget::{Demand, MemoryBudget, Reservation, SMALL_BODY_BYTES};
 use crate::process::servers::registry::Change;
 use crate::process::servers::withheld::Withheld;
 use crate::version::plan::{PlanDocument, RouteId};
@@ -25,6 +30,8 @@
 /// The maximum frame size in bytes; it must fit the merged records of a relay's parts and a
 /// caller's body.
 const MAX_FRAME_BYTES: usize = 4 << 20;
+/// The size of the length before each frame.
+const LENGTH_BYTES: usize = 3;
 
 /// Identifies a call on one connection.
 pub type CallId = u32;
@@ -139,7 +146,8 @@
     host: SmolStr,
     request_id: RequestId,
     headers: Vec<(SmolStr, Vec<u8>)>,
-    body: Vec<u8>,
+    /// Shared with the caller's request. Encoded like a list of bytes.
+    body: Bytes,
 }
 
 impl From<&Call> for ForwardedRequest {
@@ -150,7 +158,7 @@
             host: call.host.clone(),
             request_id: call.request_id.clone(),
             headers: encode_headers(&call.headers),
-            body: call.body.to_vec(),
+            body: call.body.clone(),
         }
     }
 }
@@ -164,7 +172,7 @@
             path: self.path,
             host: self.host,
             headers,
-            body: Bytes::from(self.body),
+            body: self.body,
             request_id: self.request_id,
         })
     }
@@ -196,8 +204,8 @@
     pub id: CallId,
     /// The outcome, which each piece repeats.
     pub outcome: Outcome<ForwardAnswer>,
-    /// A piece of the body.
-    pub body: Vec<u8>,
+    /// A piece of the body. Encoded like a list of bytes.
+    pub body: Bytes,
     /// Whether more pieces follow.
     pub more: bool,
 }
@@ -275,10 +283,88 @@
     Some(headers)
 }
 
-/// Returns the codec that splits a stream into frames.
-pub fn codec() -> LengthDelimitedCodec {
-    let mut codec = LengthDelimitedCodec::builder();
-    codec.length_field_length(3).max_frame_length(MAX_FRAME_BYTES).new_codec()
+/// Splits a stream into frames. A frame begins with its length in [`LENGTH_BYTES`] bytes.
+#[derive(Debug)]
+pub struct FrameDecoder {
+    codec: LengthDelimitedCodec,
+    memory: Option<Arc<MemoryBudget>>,
+    /// The memory of a large frame that is being received.
+    reserved: Option<Reservation>,
+    is_in_frame: bool,
+}
+
+impl FrameDecoder {
+    /// Creates a decoder for frames of a host that this one has called.
+    pub fn new() -> Self {
+        let mut codec = LengthDelimitedCodec::builder();
+        codec.length_field_length(LENGTH_BYTES).max_frame_length(MAX_FRAME_BYTES);
+        Self { codec: codec.new_codec(), memory: None, reserved: None, is_in_frame: false }
+    }
+
+    /// Creates a decoder for frames of anyone who connects, which fails for a frame for which there
+    /// is no memory.
+    pub fn within(memory: Arc<MemoryBudget>) -> Self {
+        Self { memory: Some(memory), ..Self::new() }
+    }
+
+    fn begin_frame(&mut self, length: usize) -> io::Result<()> {
+        self.is_in_frame = true;
+        let memory = self.memory.as_ref().filter(|_| length > SMALL_BODY_BYTES);
+        self.reserved = match memory {
+            Some(memory) => Some(
+                memory
+                    .try_reserve(length, Demand::Large)
+                    .ok_or_else(|| io::Error::from(io::ErrorKind::OutOfMemory))?,
+            ),
+            None => None,
+        };
+        Ok(())
+    }
+}
+
+impl Default for FrameDecoder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for FrameDecoder {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        if !self.is_in_frame
+            && let Some(length) = source.get(..LENGTH_BYTES)
+        {
+            let length = length.iter().fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+            self.begin_frame(length)?;
+        }
+        let frame = self.codec.decode(source)?;
+        if frame.is_some() {
+            self.is_in_frame = false;
+            self.reserved = None;
+            // The buffer would keep the memory of its longest frame.
+            if source.is_empty() && source.capacity() > SMALL_BODY_BYTES {
+                *source = BytesMut::new();
+            }
+        }
+        Ok(frame)
+    }
+}
+
+/// Writes a frame.
+///
+/// # Errors
+///
+/// Returns the error of the stream, or that the frame is too long.
+pub async fn write<W: AsyncWrite + Unpin>(writer: &mut W, frame: &Frame) -> io::Result<()> {
+    let bytes = encode(frame);
+    if bytes.len() > MAX_FRAME_BYTES {
+        return Err(io::Error::from(io::ErrorKind::InvalidInput));
+    }
+    let length = (bytes.len() as u64).to_be_bytes();
+    let length = &length[length.len() - LENGTH_BYTES..];
+    writer.write_all_buf(&mut length.chain(bytes)).await
 }
 
 /// Encodes a frame, followed by its extension if it has one. Builds that don't know the extension
--- a/src/connection/peer_frame/tests.rs
+++ b/src/connection/peer_frame/tests.rs
@@ -1,17 +1,20 @@
-use hyper::body::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method};
 use serde::{Deserialize, Serialize};
 use smallvec::smallvec;
+use smol_str::SmolStr;
+use tokio_util::codec::Decoder;
 
 use super::{
     Call, CallId, Facts, FactsExtension, ForwardAnswer, ForwardCall, ForwardReply,
-    ForwardedRequest, Frame, Known, RelayCall, RelayParts, decode, decode_headers, encode,
-    encode_headers,
+    ForwardedRequest, Frame, FrameDecoder, Known, RelayCall, RelayParts, decode, decode_headers,
+    encode, encode_headers, write,
 };
 use crate::ids::{ConfigVersion, Revision};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
 use crate::position::{Epochs, PlanOrder};
+use crate::process::budgets::memory_budget::MemoryBudget;
 use crate::process::servers::registry::{Change, Fact};
 use crate::process::servers::withheld::{Withheld, WithheldSubject};
 use crate::version::plan::PlanDocument;
@@ -166,8 +169,9 @@
         target_left_ms: 90,
         request: ForwardedRequest::from(&call()),
     });
-    let reply =
-        |outcome, more| Frame::Forwarded(ForwardReply { id: 7, outcome, body: vec![1, 2], more });
+    let reply = |outcome, more| {
+        Frame::Forwarded(ForwardReply { id: 7, outcome, body: vec![1, 2].into(), more })
+    };
     let headers = encode_headers(&call().headers);
     assert_eq!(decode_headers(headers.clone()), Some(call().headers));
     let signature = Some("x".into());
@@ -262,3 +266,81 @@
     let bytes = [&encode(&Frame::Cancel(7))[..], &[0xff; 11]].concat();
     assert_eq!(decode(&bytes), Some(Frame::Cancel(7)));
 }
+
+/// Guards against a body that hosts of the build before can't read: they take it for a list of bytes.
+#[test]
+fn bodies_are_encoded_as_in_the_build_before() {
+    #[derive(serde::Serialize)]
+    struct OldRequest {
+        method: SmolStr,
+        path: SmolStr,
+        host: SmolStr,
+        request_id: SmolStr,
+        headers: Vec<(SmolStr, Vec<u8>)>,
+        body: Vec<u8>,
+    }
+    #[derive(serde::Serialize)]
+    struct OldReply {
+        id: u32,
+        outcome: Outcome<ForwardAnswer>,
+        body: Vec<u8>,
+        more: bool,
+    }
+    for length in [0, 1, 127, 128, 70_000] {
+        let body: Vec<u8> = (0..length).map(|n: u32| n as u8).collect();
+        let call = Call { body: body.clone().into(), ..call() };
+        let old = OldRequest {
+            method: call.method.as_str().into(),
+            path: call.path.clone(),
+            host: call.host.clone(),
+            request_id: call.request_id.clone(),
+            headers: encode_headers(&call.headers),
+            body: body.clone(),
+        };
+        let new = ForwardedRequest::from(&call);
+        assert_eq!(postcard::to_stdvec(&new), postcard::to_stdvec(&old), "{length}");
+        let outcome = Outcome::NotRun(NotRunReason::Overloaded);
+        let old = OldReply { id: 7, outcome: outcome.clone(), body: body.clone(), more: false };
+        let new = ForwardReply { id: 7, outcome, body: body.into(), more: false };
+        assert_eq!(postcard::to_stdvec(&new), postcard::to_stdvec(&old), "{length}");
+    }
+}
+
+fn reply_of(length: usize) -> Frame {
+    let outcome = Outcome::NotRun(NotRunReason::Overloaded);
+    Frame::Forwarded(ForwardReply { id: 7, outcome, body: vec![7; length].into(), more: false })
+}
+
+#[tokio::test]
+async fn written_frames_are_split_again_however_they_arrive() {
+    let frames = [reply_of(0), reply_of(5), reply_of(100_000), reply_of(70_000), reply_of(1)];
+    let mut stream = Vec::new();
+    for frame in &frames {
+        write(&mut stream, frame).await.expect("a list takes all bytes");
+    }
+    for piece in [1, 1_000, stream.len()] {
+        let memory = MemoryBudget::new(1 << 20);
+        let mut decoder = FrameDecoder::within(memory.clone());
+        let (mut source, mut decoded) = (BytesMut::new(), Vec::new());
+        for bytes in stream.chunks(piece) {
+            source.extend_from_slice(bytes);
+            while let Some(frame) = decoder.decode(&mut source).expect("the frames are valid") {
+                decoded.push(decode(&frame).expect("the frame is valid"));
+            }
+        }
+        assert_eq!(decoded, frames, "in pieces of {piece}");
+        assert_eq!(memory.used_bytes(), 0, "in pieces of {piece}");
+    }
+}
+
+/// Guards against frames that are announced, or begun, and fill the memory.
+#[test]
+fn frame_for_which_there_is_no_memory_is_refused_at_its_length() {
+    let memory = MemoryBudget::new(1 << 20);
+    let mut decoders: Vec<_> = (0..8).map(|_| FrameDecoder::within(memory.clone())).collect();
+    let announced = [2, 240, 0].as_slice();
+    let accepts = |decoder: &mut FrameDecoder| decoder.decode(&mut announced.into()).is_ok();
+    assert_eq!(decoders.iter_mut().filter_map(|d| accepts(d).then_some(())).count(), 4);
+    drop(decoders);
+    assert_eq!(memory.used_bytes(), 0);
+}
--- a/src/connection/peer_links.rs
+++ b/src/connection/peer_links.rs
@@ -6,15 +6,17 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_util::codec::Framed;
+use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
 use super::peer_frame::{
-    CallId, Facts, ForwardCall, ForwardReply, Frame, RelayCall, RelayParts, codec, decode, encode,
+    CallId, Facts, ForwardCall, ForwardReply, Frame, FrameDecoder, RelayCall, RelayParts, decode,
+    write,
 };
+use crate::process::budgets::memory_budget::MemoryBudget;
 
 /// The timeout for connecting to a host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -58,6 +60,7 @@
     next_id: AtomicU32,
     facts: FactsSender,
     simulated: OnceLock<mpsc::UnboundedSender<LinkEvent>>,
+    reply_memory: Arc<OnceLock<Arc<MemoryBudget>>>,
 }
 
 impl PeerLinks {
@@ -68,9 +71,16 @@
             next_id: AtomicU32::new(0),
             facts,
             simulated: OnceLock::new(),
+            reply_memory: Arc::default(),
         }
     }
 
+    /// Counts the bodies of other hosts' answers towards a budget from now on.
+    pub fn count_replies(&self, memory: Arc<MemoryBudget>) {
+        // Only the first budget is used.
+        let _ = self.reply_memory.set(memory);
+    }
+
     /// Passes all frames without an answer to a simulated network instead of opening connections.
     pub fn simulate(&self) -> mpsc::UnboundedReceiver<LinkEvent> {
         let (sender, events) = mpsc::unbounded_channel();
@@ -167,22 +177,30 @@
         });
         links.insert(host, link.clone());
         let addr = SocketAddrV4::new(host, port);
-        tokio::spawn(run_connection(link.clone(), addr, outgoing, self.facts.clone()));
+        let received = Received { facts: self.facts.clone(), memory: self.reply_memory.clone() };
+        tokio::spawn(run_connection(link.clone(), addr, outgoing, received));
         link
     }
 }
 
+/// Where what hosts send goes.
+#[derive(Debug)]
+struct Received {
+    facts: FactsSender,
+    memory: Arc<OnceLock<Arc<MemoryBudget>>>,
+}
+
 /// Runs one connection until it ends.
 async fn run_connection(
     link: Arc<Link>,
     addr: SocketAddrV4,
     outgoing: mpsc::Receiver<Frame>,
-    facts: FactsSender,
+    received: Received,
 ) {
     let closed = link.closed.clone();
     tokio::select! {
         () = closed.cancelled() => {}
-        result = exchange_frames(&link, addr, outgoing, &facts) => {
+        result = exchange_frames(&link, addr, outgoing, &received) => {
             if let Err(error) = result {
                 tracing::info!(host = %addr.ip(), %error, "lost the connection to a host");
             }
@@ -198,15 +216,16 @@
     link: &Link,
     addr: SocketAddrV4,
     mut outgoing: mpsc::Receiver<Frame>,
-    facts: &FactsSender,
+    received: &Received,
 ) -> std::io::Result<()> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
     link.established.store(true, Ordering::Relaxed);
-    let (mut sink, mut stream) = Framed::new(stream, codec()).split();
+    let (reader, mut writer) = stream.into_split();
+    let mut stream = FramedRead::new(reader, FrameDecoder::new());
     let send = async {
         while let Some(frame) = outgoing.recv().await {
-            sink.send(encode(&frame)).await?;
+            write(&mut writer, &frame).await?;
         }
         Ok(())
     };
@@ -214,11 +233,16 @@
         while let Some(bytes) = stream.next().await {
             match decode(&bytes?) {
                 Some(Frame::Parts(parts)) => dispatch_parts(link, parts),
-                Some(Frame::Facts(received)) => {
+                Some(Frame::Facts(facts)) => {
                     // The receiver lives as long as the host.
-                    let _ = facts.send((*addr.ip(), received));
+                    let _ = received.facts.send((*addr.ip(), facts));
+                }
+                Some(Frame::Forwarded(mut reply)) => {
+                    if let Some(memory) = received.memory.get() {
+                        reply.body = memory.count_used(reply.body);
+                    }
+                    dispatch_reply(link, reply);
                 }
-                Some(Frame::Forwarded(reply)) => dispatch_reply(link, reply),
                 Some(Frame::Call(_) | Frame::Cancel(_) | Frame::Pull(_) | Frame::Forward(_))
                 | None => {
                     return Err(std::io::Error::other("received an invalid or unexpected frame"));
--- a/src/process/clients.rs
+++ b/src/process/clients.rs
@@ -413,6 +413,7 @@
     /// Records into the metrics of a host from now on, and counts the answers that it gets from others.
     pub fn attach_to<B: BackendProtocol>(&self, tier: &Tier<B>) {
         self.record_into(tier.metrics.clone());
+        tier.peers.count_replies(self.replies.clone());
     }
 
     pub(crate) fn record_into(&self, metrics: Arc<Metrics>) {
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -28,6 +28,7 @@
 };
 use crate::ids::ServiceId;
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::clients::Clients;
 use crate::process::membership::members::{Heartbeat, Phase};
 use crate::process::tier::Tier;
 
@@ -124,7 +125,7 @@
     let Some(mut pending) = tier.peers.forward(host, tier.settings.peer_port, call) else {
         return Outcome::NotRun(NotRunReason::Overloaded);
     };
-    let mut body = Vec::new();
+    let mut body = SmallVec::<[Bytes; 1]>::new();
     let mut head = None;
     loop {
         let reply = timeout_at(deadline, pending.next()).await;
@@ -142,18 +143,21 @@
         }
         let Ok(Some(reply)) = reply else { continue };
         tier.on_host_answered(host);
-        body.extend_from_slice(&reply.body);
+        body.push(reply.body);
         let head = head.get_or_insert(reply.outcome);
         if !reply.more {
             pending.done();
             let answer = std::mem::replace(head, Outcome::Unknown(UnknownReason::BadReply));
-            return decode_answer(answer, body);
+            return decode_answer(answer, join(body));
         }
     }
 }
 
-fn decode_answer(outcome: Outcome<ForwardAnswer>, body: Vec<u8>) -> Outcome<Answer> {
-    let body = Bytes::from(body);
+fn join(mut pieces: SmallVec<[Bytes; 1]>) -> Bytes {
+    if pieces.len() > 1 { pieces.concat().into() } else { pieces.pop().unwrap_or_default() }
+}
+
+fn decode_answer(outcome: Outcome<ForwardAnswer>, body: Bytes) -> Outcome<Answer> {
     match outcome {
         Outcome::Answered(ForwardAnswer::Reply { status, headers, signature }) => {
             match decode_headers(headers) {
@@ -178,11 +182,12 @@
 /// Serves a request that another host forwarded, and sends the answer in pieces that fit into frames.
 pub async fn serve<B: BackendProtocol>(
     tier: &Arc<Tier<B>>,
+    clients: &Clients,
     call: ForwardCall,
     frames: &mpsc::Sender<Frame>,
 ) {
     let id = call.id;
-    let outcome = serve_outcome(tier, call).await;
+    let outcome = serve_outcome(tier, clients, call).await;
     let (outcome, body) = encode_answer(outcome);
     let mut pieces: Vec<Bytes> = Vec::new();
     let mut rest = body;
@@ -192,8 +197,7 @@
     pieces.push(rest);
     let last = pieces.len() - 1;
     for (n, piece) in pieces.into_iter().enumerate() {
-        let reply =
-            ForwardReply { id, outcome: outcome.clone(), body: piece.to_vec(), more: n < last };
+        let reply = ForwardReply { id, outcome: outcome.clone(), body: piece, more: n < last };
         // The pieces are dropped if the calling host has disconnected.
         let _ = frames.send(Frame::Forwarded(reply)).await;
     }
@@ -201,6 +205,7 @@
 
 async fn serve_outcome<B: BackendProtocol>(
     tier: &Arc<Tier<B>>,
+    clients: &Clients,
     call: ForwardCall,
 ) -> Outcome<Answer> {
     let began_at = tier.now();
@@ -212,9 +217,12 @@
     }
     let _running = tier.track_running();
     let plan = tier.plan.load_full();
-    let Some(request) = call.request.into_call() else {
+    let Some(mut request) = call.request.into_call() else {
         return Outcome::NotRun(NotRunReason::BadRequest);
     };
+    let Some(_memory) = clients.reserve_relayed(&mut request) else {
+        return Outcome::NotRun(NotRunReason::Overloaded);
+    };
     let path = request.path.split('?').next().unwrap_or_default();
     let route = plan.route(&request.host, path).filter(|_| plan.order() >= call.plan);
     let Some(route) = route.cloned() else {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -7,15 +7,16 @@
 use std::collections::HashMap;
 use std::io;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use futures::{SinkExt, StreamExt};
 use smallvec::SmallVec;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_util::codec::Framed;
+use tokio::time::{Instant, timeout};
+use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::{
@@ -27,14 +28,18 @@
 use super::server_choice::Purpose;
 use super::timer::sleep_until;
 use crate::clock::{Monotonic, micros, millis};
-use crate::connection::accept::accept;
+use crate::connection::client_server::{ConnectionLimits, End, Waits, accept_client, listen};
+use crate::connection::client_stream::ClientStream;
 use crate::connection::exchange::{BackendProtocol, Call, Reply};
 use crate::connection::peer_frame::{
-    CallId, ForwardCall, Frame, RelayCall, RelayFailure, RelayParts, ShardIndex, codec, decode,
-    encode,
+    CallId, ForwardCall, Frame, FrameDecoder, RelayCall, RelayFailure, RelayParts, ShardIndex,
+    decode, write,
 };
 use crate::ids::ServerId;
 use crate::outcome::{NotRunReason, Outcome};
+use crate::process::clients::{
+    Cause, ClientConnection, ClientKind, Clients, Phase, RegisteredConnection,
+};
 use crate::process::configuration::fact_exchange;
 use crate::process::servers::passive_health::PassiveHealth;
 use crate::process::tier::Tier;
@@ -42,58 +47,92 @@
 
 /// The maximum number of frames queued for one host.
 const MAX_QUEUED_FRAMES: usize = 512;
+/// The time for one frame to arrive or to be read by the other host.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// The limits of a host's connection. A host may have nothing to send for long; it opens another
+/// connection when it has.
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    max_head_bytes: 0,
+    head_timeout: FRAME_TIMEOUT,
+    idle_timeout: Duration::from_secs(600),
+};
 /// After the first frame, parts that arrive within this time are returned together.
 const COALESCE_DELAY: Duration = Duration::from_millis(4);
 
 /// The wait that is reported for a request that lost a server's last token to another one.
 const RATE_TOKEN_LOST_WAIT: Duration = Duration::from_millis(20);
 
-type Running = Arc<Mutex<HashMap<CallId, CancellationToken>>>;
-
 /// Serves calls of other hosts until this host stops.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system if the port can't be bound.
-pub async fn serve<B: BackendProtocol>(tier: Arc<Tier<B>>) -> io::Result<()> {
-    let listener = TcpListener::bind((tier.settings.ip, tier.settings.peer_port)).await?;
-    while let Some(stream) = accept(&listener, &tier.shutdown.stopped, "a host").await {
-        tokio::spawn(connection(tier.clone(), stream));
+pub async fn serve<B: BackendProtocol>(
+    tier: Arc<Tier<B>>,
+    clients: Arc<Clients>,
+) -> io::Result<()> {
+    let listener = listen((tier.settings.ip, tier.settings.peer_port).into())?;
+    let stopped = tier.shutdown.stopped.clone();
+    while let Some((stream, registered)) =
+        accept_client(&listener, &clients, ClientKind::Host, &stopped).await
+    {
+        tokio::spawn(connection(tier.clone(), stream, registered));
     }
     Ok(())
 }
 
-async fn connection<B: BackendProtocol>(tier: Arc<Tier<B>>, stream: TcpStream) {
+async fn connection<B: BackendProtocol>(
+    tier: Arc<Tier<B>>,
+    stream: TcpStream,
+    registered: RegisteredConnection,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "can't set TCP_NODELAY on a host's connection");
     }
-    let (mut sink, mut stream) = Framed::new(stream, codec()).split();
+    let clients = registered.clients();
+    let client = registered.connection().clone();
+    let (reader, mut writer) = stream.into_split();
+    let decoder = FrameDecoder::within(clients.requests.clone());
+    let mut stream = FramedRead::new(ClientStream::new(reader, client.clone()), decoder);
     let (frames, mut outgoing) = mpsc::channel::<Frame>(MAX_QUEUED_FRAMES);
-    let running = Running::default();
+    let running = Running { calls: Arc::default(), client: client.clone() };
     let send = async {
         while let Some(frame) = outgoing.recv().await {
-            if sink.send(encode(&frame)).await.is_err() {
-                return;
+            match timeout(FRAME_TIMEOUT, write(&mut writer, &frame)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => {
+                    registered.on_turned_away(Cause::UnreadAnswer);
+                    return;
+                }
             }
         }
     };
     let receive = async {
-        while let Some(Ok(bytes)) = stream.next().await {
-            match decode(&bytes) {
-                Some(Frame::Call(call)) => start(&tier, call, &frames, &running),
-                Some(Frame::Cancel(id)) => {
-                    let call = running.lock().expect("no holder of the lock panics").remove(&id);
-                    if let Some(call) = call {
-                        call.cancel();
+        while let Some(received) = stream.next().await {
+            let bytes = match received {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    if error.kind() == io::ErrorKind::OutOfMemory {
+                        registered.on_turned_away(Cause::Frame);
+                        clients.relieve_requests();
                     }
+                    return;
                 }
+            };
+            running.update_phase(!stream.read_buffer().is_empty());
+            match decode(&bytes) {
+                Some(Frame::Call(call)) => start(&tier, clients, call, &frames, &running),
+                Some(Frame::Cancel(id)) => running.cancel(id),
                 Some(Frame::Pull(known)) => {
                     let facts = fact_exchange::facts_after(&tier, known);
                     // The facts are dropped if the host's queue is full; the host pulls again.
                     let _ = frames.try_send(Frame::Facts(facts));
                 }
                 Some(Frame::Facts(facts)) => fact_exchange::on_pushed(&tier, facts),
-                Some(Frame::Forward(call)) => start_forwarded(&tier, call, &frames, &running),
+                Some(Frame::Forward(call)) => {
+                    start_forwarded(&tier, clients, call, &frames, &running);
+                }
                 Some(Frame::Parts(_) | Frame::Forwarded(_)) | None => {
                     tracing::warn!("unexpected frame from a host; closing its connection");
                     return;
@@ -102,47 +141,100 @@
         }
     };
     tokio::select! {
-        () = send => {}
+        biased;
         () = receive => {}
+        () = send => {}
+        end = Waits::new(&client, LIMITS) => match end {
+            End::TimedOut(_) => registered.on_turned_away(Cause::Frame),
+            End::Displaced => registered.on_turned_away(Cause::Displaced),
+            End::Idle | End::Finished(_) => {}
+        },
         () = tier.shutdown.stopped.cancelled() => {}
     }
     // The calling host has disconnected, so its calls are cancelled.
-    for call in running.lock().expect("no holder of the lock panics").values() {
-        call.cancel();
+    running.cancel_all();
+}
+
+/// The calls of one host that are in progress.
+#[derive(Debug, Clone)]
+struct Running {
+    calls: Arc<Mutex<HashMap<CallId, CancellationToken>>>,
+    client: Arc<ClientConnection>,
+}
+
+impl Running {
+    fn lock(&self) -> MutexGuard<'_, HashMap<CallId, CancellationToken>> {
+        self.calls.lock().expect("no holder of the lock panics")
+    }
+
+    fn begin(&self, id: CallId) -> CancellationToken {
+        let token = CancellationToken::new();
+        self.lock().insert(id, token.clone());
+        self.client.set_phase(Phase::Serving);
+        token
+    }
+
+    fn end(&self, id: CallId) {
+        let mut calls = self.lock();
+        calls.remove(&id);
+        if calls.is_empty() && self.client.phase() == Phase::Serving {
+            self.client.set_phase(Phase::Idle(Instant::now()));
+        }
+    }
+
+    fn cancel(&self, id: CallId) {
+        if let Some(call) = self.lock().remove(&id) {
+            call.cancel();
+        }
+    }
+
+    fn cancel_all(&self) {
+        self.lock().values().for_each(CancellationToken::cancel);
+    }
+
+    /// Records what the connection waits for after a frame.
+    fn update_phase(&self, has_next: bool) {
+        let now = Instant::now();
+        self.client.set_phase(match (self.lock().is_empty(), has_next) {
+            (false, _) => Phase::Serving,
+            (true, true) => Phase::Head(now),
+            (true, false) => Phase::Idle(now),
+        });
     }
 }
 
 fn start<B: BackendProtocol>(
     tier: &Arc<Tier<B>>,
+    clients: &Arc<Clients>,
     call: RelayCall,
     frames: &mpsc::Sender<Frame>,
     running: &Running,
 ) {
-    let token = CancellationToken::new();
-    running.lock().expect("no holder of the lock panics").insert(call.id, token.clone());
+    let (id, token) = (call.id, running.begin(call.id));
     let (tier, frames, running) = (tier.clone(), frames.clone(), running.clone());
+    let clients = clients.clone();
     tokio::spawn(async move {
-        let id = call.id;
-        RelayedCall::run(tier, call, frames, token).await;
-        running.lock().expect("no holder of the lock panics").remove(&id);
+        RelayedCall::run(tier, &clients, call, frames, token).await;
+        running.end(id);
     });
 }
 
 fn start_forwarded<B: BackendProtocol>(
     tier: &Arc<Tier<B>>,
+    clients: &Arc<Clients>,
     call: ForwardCall,
     frames: &mpsc::Sender<Frame>,
     running: &Running,
 ) {
-    let (id, token) = (call.id, CancellationToken::new());
-    running.lock().expect("no holder of the lock panics").insert(id, token.clone());
+    let (id, token) = (call.id, running.begin(call.id));
     let (tier, frames, running) = (tier.clone(), frames.clone(), running.clone());
+    let clients = clients.clone();
     tokio::spawn(async move {
         tokio::select! {
-            () = forward::serve(&tier, call, &frames) => {}
+            () = forward::serve(&tier, &clients, call, &frames) => {}
             () = token.cancelled() => {}
         }
-        running.lock().expect("no holder of the lock panics").remove(&id);
+        running.end(id);
     });
 }
 
@@ -159,6 +251,7 @@
 impl RelayedCall {
     async fn run<B: BackendProtocol>(
         tier: Arc<Tier<B>>,
+        clients: &Clients,
         call: RelayCall,
         frames: mpsc::Sender<Frame>,
         cancelled: CancellationToken,
@@ -179,11 +272,13 @@
             next: empty_parts(call.id),
             records: TopRecords::new(keep),
         };
-        let request = call.request.into_call();
+        let mut request = call.request.into_call();
         let quarantined = |request: &Call| {
             tier.suspects.quarantine().is_quarantined(began_at, request.fingerprint())
         };
-        if request.as_ref().is_some_and(quarantined) {
+        let memory = request.as_mut().and_then(|request| clients.reserve_relayed(request));
+        let has_no_room = request.is_some() && memory.is_none();
+        if has_no_room || request.as_ref().is_some_and(quarantined) {
             for shard in &call.shards {
                 relayed.decline(*shard, Purpose::Needed);
             }
--- a/tests/tier/connection_limits.rs
+++ b/tests/tier/connection_limits.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quetzalpoint::Outcome;
+use quetzalpoint::process::clients::{Clients, MachineLimits};
 use quetzalpoint::process::membership::heartbeat_transport;
 use quetzalpoint::request::entry::Answer;
 use quetzalpoint::request::relay;
@@ -33,7 +34,7 @@
     // Heartbeats start only now, because hosts discover each other within milliseconds.
     for host in &hosts {
         tokio::spawn(heartbeat_transport::run(host.tier.clone()));
-        tokio::spawn(relay::serve(host.tier.clone()));
+        tokio::spawn(relay::serve(host.tier.clone(), Clients::new(MachineLimits::default())));
     }
     let give_up_at = Instant::now() + WAIT_TIMEOUT;
     while hosts.iter().any(|host| host.tier.fleet.load().up.len() < ips.len() - 1) {
--- a/tests/tier/hosts_without_server_paths.rs
+++ b/tests/tier/hosts_without_server_paths.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use quetzalpoint::process::clients::{Clients, MachineLimits};
 use quetzalpoint::process::membership::heartbeat_transport;
 use quetzalpoint::process::membership::members::Phase;
 use quetzalpoint::process::servers::server_paths;
@@ -28,7 +29,7 @@
         let host = TestHost::at(SHARDS, ip(n), domain, servers.for_another_host());
         host.tier.members().set_seeds(vec![ip(0), ip(1), ip(2)]);
         tokio::spawn(heartbeat_transport::run(host.tier.clone()));
-        tokio::spawn(relay::serve(host.tier.clone()));
+        tokio::spawn(relay::serve(host.tier.clone(), Clients::new(MachineLimits::default())));
         tokio::spawn(server_paths::run(host.tier.clone()));
         host
     };
--- a/tests/tier/relay_failures.rs
+++ b/tests/tier/relay_failures.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quetzalpoint::Outcome;
+use quetzalpoint::process::clients::{Clients, MachineLimits};
 use quetzalpoint::process::membership::heartbeat_transport;
 use quetzalpoint::process::servers::registry::{Change, Fact};
 use quetzalpoint::request::entry::Answer;
@@ -22,7 +23,7 @@
         |shard| Change { revision: 2, fact: Fact::Server(server_record(shard, NORTH).id, None) };
     host.apply_changes((0..SHARDS).map(removal).collect(), 2);
     tokio::spawn(heartbeat_transport::run(host.tier.clone()));
-    tokio::spawn(relay::serve(host.tier.clone()));
+    tokio::spawn(relay::serve(host.tier.clone(), Clients::new(MachineLimits::default())));
     host
 }
 
