Apply the limits on clients to the product's own interface

The interface uses the same connections, bodies and sums as the platform's daemon. A connection of another host that has not completed its handshake ends after ten seconds.

Not covered: frames that other hosts have begun. The RPC library builds its transport from a codec of its own, whose buffers are not counted.

--- a/src/bin/quetzald/main.rs
+++ b/src/bin/quetzald/main.rs
@@ -14,9 +14,10 @@
 async fn main() -> miette::Result<()> {
     let options = options().run();
     init_logging(options.log_format);
+    let machine = options.machine();
     let settings = options.settings();
     let mut terminate = signal(SignalKind::terminate()).map_err(miette::Report::msg)?;
-    let start = Host::builder(settings).start();
+    let start = Host::builder(settings).machine(machine).start();
     let host = tokio::select! {
         started = start => started.map_err(miette::Report::msg)?,
         _ = terminate.recv() => return Ok(()),
--- a/src/bin/quetzald/options.rs
+++ b/src/bin/quetzald/options.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use quetzalpoint::Settings;
+use quetzalpoint::process::clients::MachineLimits;
 
 /// The format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,12 +49,26 @@
     /// Peer address of another host to ask for a configuration; may be given several times
     #[bpaf(long("peer"), argument("IP:PORT"), many)]
     peers: Vec<SocketAddr>,
+    /// Memory of the machine in megabytes, from which the limits on clients follow
+    #[bpaf(long, env("QUETZAL_MEMORY_MB"), argument("N"), fallback(260))]
+    memory_mb: usize,
+    /// Number of file descriptors that the process may open
+    #[bpaf(long, env("QUETZAL_MAX_DESCRIPTORS"), argument("N"), fallback(4_096))]
+    max_descriptors: usize,
     /// Format of log lines: text or json
     #[bpaf(long, env("QUETZAL_LOG_FORMAT"), argument("FORMAT"), fallback(LogFormat::Text))]
     pub log_format: LogFormat,
 }
 
 impl Options {
+    /// Returns what the process may use of its machine.
+    pub const fn machine(&self) -> MachineLimits {
+        MachineLimits {
+            memory_bytes: self.memory_mb.saturating_mul(1 << 20),
+            descriptors: self.max_descriptors,
+        }
+    }
+
     /// Returns the settings for the library.
     pub fn settings(self) -> Settings {
         Settings {
--- a/src/host.rs
+++ b/src/host.rs
@@ -13,12 +13,14 @@
 
 use super::peer_server::{PeerHandlers, serve_peers};
 use crate::clock::{Clock, Monotonic};
+use crate::connection::client_server;
 use crate::connection::network_faults::NetworkFaults;
 use crate::connection::peer_pool::{Identity, PeerPool};
 use crate::connection::platform::Platform;
 use crate::error::{Error, Result};
 use crate::ids::{ConfigVersion, DomainId, HostId, Incarnation};
 use crate::policy::Policy;
+use crate::process::clients::{Clients, MachineLimits};
 use crate::process::configuration::config_watch::{
     ConfigActor, bootstrap, fetch_from_peers, watch_hosts, watch_versions,
 };
@@ -40,6 +42,9 @@
 /// The maximum time that a draining host waits for its running requests and its leases to end.
 const MAX_DRAIN_WAIT: Duration = Duration::from_secs(60);
 
+/// The interval at which clients that were refused or closed are logged.
+const CLIENT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The settings of a host's process.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -62,6 +67,7 @@
 pub struct HostBuilder {
     settings: Settings,
     policy: Policy,
+    machine: MachineLimits,
     network_faults: Arc<NetworkFaults>,
 }
 
@@ -73,6 +79,13 @@
         self
     }
 
+    /// Replaces the default limits of the machine, from which those of all clients follow.
+    #[must_use]
+    pub const fn machine(mut self, machine: MachineLimits) -> Self {
+        self.machine = machine;
+        self
+    }
+
     /// Injects delays and partitions into the network between failure domains, for tests and
     /// measurements.
     #[must_use]
@@ -89,9 +102,9 @@
     /// the configuration doesn't list the host, and [`Error::Invalid`] if it lists the host in
     /// another failure domain.
     pub async fn start(self) -> Result<Host> {
-        let Self { settings, policy, network_faults } = self;
-        let callers = listen(settings.caller_addr).await?;
-        let peers = listen(settings.peer_addr).await?;
+        let Self { settings, policy, machine, network_faults } = self;
+        let callers = listen(settings.caller_addr)?;
+        let peers = listen(settings.peer_addr)?;
         let platform = settings.platform.map(Platform::new);
         let store = bootstrap(platform, &settings.peers).await;
         let config = store.current().clone();
@@ -112,7 +125,7 @@
             policy,
             peers: PeerPool::new(identity, clock, network_faults.clone()),
             network_faults,
-            metrics: Metrics::new(),
+            metrics: Arc::new(Metrics::new()),
             operational: ArcSwap::from_pointee(operational),
             leases: ArcSwap::from_pointee(LeaseView::default()),
             pause: Mutex::new(PauseGuard::new(clock.now())),
@@ -140,8 +153,12 @@
         host.spawn(fetch_from_peers(context.clone(), newer_config_rx, config_actor));
         host.spawn(send_ticks(membership.clone()));
         let handlers = PeerHandlers { context: context.clone(), batches, keeper, membership };
-        host.spawn(serve_peers(peers, handlers));
-        tokio::spawn(serve_callers(callers, CallerServer::new(context, coordinator)));
+        let clients = Clients::new(machine);
+        clients.record_into(context.metrics.clone());
+        host.spawn(serve_peers(peers, handlers, clients.clone()));
+        host.spawn(report_clients(clients.clone()));
+        let server = CallerServer::new(context, coordinator, clients);
+        tokio::spawn(serve_callers(callers, server));
         Ok(host)
     }
 }
@@ -156,7 +173,8 @@
 impl Host {
     /// Returns a builder with [`Policy::FULL`] and no network faults.
     pub fn builder(settings: Settings) -> HostBuilder {
-        HostBuilder { settings, policy: Policy::FULL, network_faults: Arc::default() }
+        let (policy, machine) = (Policy::FULL, MachineLimits::default());
+        HostBuilder { settings, policy, machine, network_faults: Arc::default() }
     }
 
     /// Returns the configuration version in force.
@@ -229,8 +247,16 @@
     }
 }
 
-async fn listen(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|source| Error::Address { addr, source })
+async fn report_clients(clients: Arc<Clients>) {
+    let mut interval = tokio::time::interval(CLIENT_REPORT_INTERVAL);
+    loop {
+        interval.tick().await;
+        clients.report();
+    }
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    client_server::listen(addr).map_err(|source| Error::Address { addr, source })
 }
 
 fn check_settings(settings: &Settings, config: &crate::version::config::Config) -> Result<()> {
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::micros;
+use crate::connection::client_server::{ConnectionLimits, End, Waits, accept_client};
 use crate::connection::peer::{
     Batch, BatchId, ClaimAnswer, Hello, HelloRefusal, HelloReply, MAX_FRAME_BYTES, Order,
     PROTOCOL_VERSION, Part, Peer, Postcard, ShardReport,
@@ -20,6 +21,7 @@
 use crate::connection::query::Answer;
 use crate::ids::{ConfigVersion, ShardId};
 use crate::outcome::{NotRunReason, Outcome};
+use crate::process::clients::{Cause, ClientConnection, ClientKind, Clients, Phase};
 use crate::process::context::Context;
 use crate::process::keeper::Keeper;
 use crate::process::membership::gossip::Push;
@@ -30,8 +32,12 @@
 
 /// The deadline assumed for the batch of a collect call, which doesn't carry one.
 const ASSUMED_BATCH_DEADLINE: Duration = Duration::from_secs(5);
-/// The delay before accepting again after an error.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// The limits of a connection before the handshake; a peer stays connected after it.
+const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_head_bytes: 0,
+    head_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(10),
+};
 
 /// The components of a host that handle calls from peers.
 #[derive(Clone)]
@@ -48,36 +54,45 @@
 struct PeerConnection {
     handlers: PeerHandlers,
     handshake_done: Arc<AtomicBool>,
+    client: Arc<ClientConnection>,
 }
 
 /// Accepts connections from peers until the host stops.
-pub(crate) async fn serve_peers(listener: TcpListener, handlers: PeerHandlers) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let stopped = handlers.context.stopped.clone();
-                let connection = serve_connection(stream, handlers.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = connection => {}
-                        () = stopped.cancelled() => {}
+pub(crate) async fn serve_peers(
+    listener: TcpListener,
+    handlers: PeerHandlers,
+    clients: Arc<Clients>,
+) {
+    let stopped = handlers.context.stopped.clone();
+    while let Some((stream, registered)) =
+        accept_client(&listener, &clients, ClientKind::Host, &stopped).await
+    {
+        let (handlers, stopped) = (handlers.clone(), stopped.clone());
+        tokio::spawn(async move {
+            let client = registered.connection();
+            tokio::select! {
+                () = serve_connection(stream, handlers, client.clone()) => {}
+                end = Waits::new(client, CONNECTION_LIMITS) => {
+                    if let End::Displaced = end {
+                        registered.on_turned_away(Cause::Displaced);
                     }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "can't accept a connection from a peer; trying again");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+                () = stopped.cancelled() => {}
             }
-        }
+        });
     }
 }
 
-async fn serve_connection(stream: TcpStream, handlers: PeerHandlers) {
+async fn serve_connection(
+    stream: TcpStream,
+    handlers: PeerHandlers,
+    client: Arc<ClientConnection>,
+) {
     let _ = stream.set_nodelay(true);
     let framed =
         LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
     let transport: Transport<_, _, _, Postcard> = tarpc::serde_transport::new(framed, Postcard);
-    let connection = PeerConnection { handlers, handshake_done: Arc::default() };
+    let connection = PeerConnection { handlers, handshake_done: Arc::default(), client };
     BaseChannel::with_defaults(transport)
         .execute(connection.serve())
         .for_each(|request| async {
@@ -110,6 +125,7 @@
             return Err(HelloRefusal::Deployment);
         }
         self.handshake_done.store(true, Ordering::Release);
+        self.client.set_phase(Phase::Serving);
         Ok(HelloReply { host: context.me.clone(), clock_us: micros(context.clock.now()) })
     }
 
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -32,7 +32,7 @@
     pub(crate) policy: Policy,
     pub(crate) network_faults: Arc<NetworkFaults>,
     pub(crate) peers: PeerPool,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
     /// The newest operational state; requests in progress read it at every dispatch.
     pub(crate) operational: ArcSwap<OperationalState>,
     /// The newest snapshot of leases.
--- a/src/request/http.rs
+++ b/src/request/http.rs
@@ -2,31 +2,30 @@
 //!
 //! `docs/ARCHITECTURE.md`, section "Callers", describes every route.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::RngExt;
 use serde::Serialize;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use super::coordinator::Coordinator;
-use crate::clock::millis;
+use crate::clock::{Monotonic, millis};
 use crate::connection::caller_api::{EntryHost, EntryHosts, ErrorReply, Reply, Status};
+use crate::connection::client_body::{self, BodyError};
+use crate::connection::client_server::{self, ConnectionLimits, accept_client};
 use crate::connection::query::{Answer, Query, QueryBody};
 use crate::ids::{HostId, RequestId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::process::clients::{Cause, ClientConnection, ClientKind, Clients};
 use crate::process::context::Context;
 use crate::process::membership::seats::LeaseView;
 use crate::version::config::{Config, Kind, stable_hash};
@@ -35,11 +34,13 @@
 const MAX_BODY_BYTES: usize = 64 << 10;
 /// The maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
-const MAX_HEADERS: usize = 64;
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_head_bytes: MAX_HEAD_BYTES,
+    head_timeout: HEAD_TIMEOUT,
+    idle_timeout: HEAD_TIMEOUT,
+};
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// The maximum number of connections from callers.
-const MAX_CONNECTIONS: usize = 4_096;
 /// The maximum number of concurrent requests from callers.
 const MAX_RUNNING: u32 = 2_048;
 const MAX_REQUEST_ID_BYTES: usize = 128;
@@ -47,11 +48,6 @@
 const MAX_DEADLINE_MS: u64 = 600_000;
 /// Time after which a refused caller may retry.
 const RETRY_AFTER_MS: u64 = 250;
-/// The reply to a connection beyond the limit.
-const TOO_MANY_CONNECTIONS: &str = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
-    content-type: application/json\r\ncontent-length: 75\r\nconnection: close\r\n\r\n\
-    {\"error\":\"too many connections; come back in a second\",\"outcome\":\"not_run\"}";
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 const ADDRESS_SEED: u64 = 0x6164_6472_6573_0001;
 
 type HttpReply = Response<Full<Bytes>>;
@@ -67,12 +63,21 @@
         Self { status, why: why.into() }
     }
 
+    fn overloaded() -> Self {
+        let why = "there is no memory for the request; come back later";
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, why)
+    }
+
     fn bad(why: impl Into<String>) -> Self {
         Self::new(StatusCode::BAD_REQUEST, why)
     }
 
     fn reply(&self) -> HttpReply {
-        fault(self.status, &self.why)
+        let mut reply = fault(self.status, &self.why);
+        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+            reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        reply
     }
 }
 
@@ -81,15 +86,61 @@
 pub(crate) struct CallerServer {
     context: Arc<Context>,
     coordinator: Arc<Coordinator>,
-    connections: Arc<Semaphore>,
+    clients: Arc<Clients>,
 }
 
 impl CallerServer {
-    pub(crate) fn new(context: Arc<Context>, coordinator: Arc<Coordinator>) -> Self {
-        Self { context, coordinator, connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)) }
+    pub(crate) const fn new(
+        context: Arc<Context>,
+        coordinator: Arc<Coordinator>,
+        clients: Arc<Clients>,
+    ) -> Self {
+        Self { context, coordinator, clients }
+    }
+
+    /// Handles a request if there is memory for it. The connection closes if a part of the body may
+    /// be unread.
+    async fn handle_within_limits(
+        &self,
+        caller: SocketAddr,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+    ) -> HttpReply {
+        let has_body = !request.body().is_end_stream();
+        let (mut response, is_body_read) = match self.clients.reserve_request().await {
+            Some(_memory) => self.handle(caller, request, connection).await,
+            None => {
+                self.clients.on_turned_away(ClientKind::Caller, Cause::Memory);
+                (Rejected::overloaded().reply(), false)
+            }
+        };
+        if has_body && !is_body_read {
+            connection.on_refusal();
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 
-    async fn handle(&self, caller: SocketAddr, request: Request<Incoming>) -> HttpReply {
+    /// Returns the answer, and whether the body was read.
+    async fn handle(
+        &self,
+        caller: SocketAddr,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+    ) -> (HttpReply, bool) {
+        if request.method() == Method::POST
+            && let Some(service) = request.uri().path().strip_prefix("/v1/query/")
+        {
+            let (service, arrived) = (service.to_owned(), self.context.clock.now());
+            return match self.read_body(request, connection).await {
+                Ok(body) => (self.query(&service, arrived, &body).await, true),
+                Err(rejected) => (rejected.reply(), false),
+            };
+        }
+        (self.describe(caller, &request), false)
+    }
+
+    fn describe(&self, caller: SocketAddr, request: &Request<Incoming>) -> HttpReply {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/entry-hosts") => json(StatusCode::OK, &self.entry_hosts(caller)),
@@ -102,10 +153,9 @@
             }
             (&Method::GET, "/v1/status") => json(StatusCode::OK, &self.status()),
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.context.metrics.text()),
-            (&Method::POST, _) => match path.strip_prefix("/v1/query/") {
-                Some(service) => self.query(service, request).await,
-                None => fault(StatusCode::NOT_FOUND, "no such path; post to /v1/query/{service}"),
-            },
+            (&Method::POST, _) => {
+                fault(StatusCode::NOT_FOUND, "no such path; post to /v1/query/{service}")
+            }
             (&Method::GET, _) => {
                 let known = "/v1/entry-hosts, /v1/health, /v1/ready, /v1/status, /metrics";
                 fault(StatusCode::NOT_FOUND, &format!("no such path; known: {known}"))
@@ -114,14 +164,40 @@
         }
     }
 
-    async fn query(&self, service: &str, request: Request<Incoming>) -> HttpReply {
-        let arrived = self.context.clock.now();
-        let body = match read_body(request).await {
-            Ok(body) => body,
-            Err(rejected) => return rejected.reply(),
-        };
+    async fn read_body(
+        &self,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+    ) -> Result<Bytes, Rejected> {
+        let deadline = Instant::now() + BODY_TIMEOUT;
+        let body = request.into_body();
+        let received =
+            client_body::receive(body, MAX_BODY_BYTES, deadline, &self.clients, connection).await;
+        received.map_err(|error| {
+            if let Some(cause) = error.cause() {
+                self.clients.on_turned_away(ClientKind::Caller, cause);
+            }
+            match error {
+                BodyError::TooLong => Rejected::new(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    format!("the body is larger than {MAX_BODY_BYTES} bytes; send a shorter one"),
+                ),
+                BodyError::Broken => Rejected::bad("the body was cut off; send it again"),
+                BodyError::TimedOut => Rejected::new(
+                    StatusCode::REQUEST_TIMEOUT,
+                    format!(
+                        "the body took longer than {} s; send it at once",
+                        BODY_TIMEOUT.as_secs()
+                    ),
+                ),
+                BodyError::NoMemory => Rejected::overloaded(),
+            }
+        })
+    }
+
+    async fn query(&self, service: &str, arrived: Monotonic, body: &[u8]) -> HttpReply {
         let config = self.context.operational.load().config.clone();
-        let (query, deadline_ms) = match parse(&config, service, &body) {
+        let (query, deadline_ms) = match parse(&config, service, body) {
             Ok(parsed) => parsed,
             Err(rejected) => return rejected.reply(),
         };
@@ -248,62 +324,19 @@
 /// Accepts connections from callers until this host stops.
 pub(crate) async fn serve_callers(listener: TcpListener, server: CallerServer) {
     let stopped = server.context.stopped.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stopped.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, caller)) => {
-                tokio::spawn(serve_caller(stream, caller, server.clone()));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "failed to accept a caller's connection");
-                tokio::time::sleep(ACCEPT_RETRY).await;
-            }
-        }
-    }
-}
-
-async fn serve_caller(mut stream: TcpStream, caller: SocketAddr, server: CallerServer) {
-    let Ok(_permit) = server.connections.clone().try_acquire_owned() else {
-        tracing::warn!(%caller, "connection refused: connection limit reached");
-        let _ = stream.write_all(TOO_MANY_CONNECTIONS.as_bytes()).await;
-        return;
-    };
-    let _ = stream.set_nodelay(true);
-    let stopped = server.context.stopped.clone();
-    let service = service_fn(move |request| {
-        let server = server.clone();
-        async move { Ok::<_, Infallible>(server.handle(caller, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = stopped.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
-}
-
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, Rejected> {
-    let limited = Limited::new(request.into_body(), MAX_BODY_BYTES);
-    match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejected::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {MAX_BODY_BYTES} bytes; send a shorter one"),
-        )),
-        Ok(Err(_)) => Err(Rejected::bad("the body was cut off; send it again")),
-        Err(_) => Err(Rejected::new(
-            StatusCode::REQUEST_TIMEOUT,
-            format!("the body took longer than {} s; send it at once", BODY_TIMEOUT.as_secs()),
-        )),
+    while let Some((stream, registered)) =
+        accept_client(&listener, &server.clients, ClientKind::Caller, &stopped).await
+    {
+        let (server, stopped) = (server.clone(), stopped.clone());
+        tokio::spawn(async move {
+            // The address is unknown if the caller has left already.
+            let Ok(caller) = stream.peer_addr() else { return };
+            let handle = |request: Request<Incoming>, connection: Arc<ClientConnection>| {
+                let server = server.clone();
+                async move { server.handle_within_limits(caller, request, &connection).await }
+            };
+            client_server::serve(stream, registered, CONNECTION_LIMITS, &stopped, handle).await;
+        });
     }
 }
 
