Let misbehaving clients take part in the fault soak

--misbehaving-clients starts clients at each host that hold connections open until the process closes them or is gone: idle ones at every listener, unfinished heads, bodies, chunks and frames, bytes behind a request, and answers that nobody reads. At the end each process must run and must have stayed within the memory of its machine.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod faults;
 mod invariants;
+mod misbehaving;
 mod periods;
 mod proxy;
 mod restore;
@@ -83,6 +84,9 @@
     /// Number of callers that insist on each host, while there are cold starts
     #[bpaf(long, argument("N"), fallback(4))]
     insisting_callers: usize,
+    /// Number of clients of each host that hold connections open and complete nothing
+    #[bpaf(long, argument("N"), fallback(0))]
+    misbehaving_clients: usize,
     /// Number of failure domains
     #[bpaf(long, argument("N"), fallback(2), guard(|n| (1..=4).contains(n), "give 1 to 4"))]
     domains: usize,
@@ -194,6 +198,13 @@
     let callers: Vec<_> =
         (0..options.callers).map(caller).chain(world.hosts.iter().enumerate().map(probe)).collect();
     let insisting: Vec<_> = (0..insisting).map(insisting_caller).collect();
+    let misbehaving_client = |n: usize| {
+        let rng = SmallRng::seed_from_u64(seed ^ (n as u64 + 1) << 16);
+        let ip = world.hosts[n % hosts].ip;
+        tokio::spawn(misbehaving::run(ip, n, rng, stop_at))
+    };
+    let misbehaving: Vec<_> =
+        (0..options.misbehaving_clients * hosts).map(misbehaving_client).collect();
     let mut violations = Vec::new();
     for injection in injections {
         violations.extend(injection.await.map_err(std::io::Error::other)??);
@@ -202,6 +213,10 @@
         caller.await.map_err(std::io::Error::other)?;
     }
     crashes.abort();
+    violations.extend(misbehaving::check(&world));
+    for client in misbehaving {
+        client.await.map_err(std::io::Error::other)?;
+    }
     let requests = requests.lock().expect("no holder of the lock panics").clone();
     let recovered_by = stop_at - faults::FAULT_FREE_END + RECOVERY_TIME;
     violations.extend(invariants::check_invariants(&world, &requests, recovered_by));
