Check that no status like 000 reaches a caller

On other systems a server in trouble sent an answer with the status 000, and callers got it as an answer. The HTTP library rejects a status below 100, so this held before.

One place did not depend on it: the status of an answer travels from host to host as a number, and a number that is no status became 502 at the caller with the server's signature still on it. Such an answer is now unreadable. The new unit test failed before: status 0 was accepted.

--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use rand::seq::IndexedRandom;
 use smallvec::SmallVec;
@@ -160,7 +161,8 @@
 fn decode_answer(outcome: Outcome<ForwardAnswer>, body: Bytes) -> Outcome<Answer> {
     match outcome {
         Outcome::Answered(ForwardAnswer::Reply { status, headers, signature }) => {
-            match decode_headers(headers) {
+            // No answer to a caller can have another status.
+            match decode_headers(headers).filter(|_| StatusCode::from_u16(status).is_ok()) {
                 Some(headers) => {
                     Outcome::Answered(Answer::Forwarded(Reply { status, headers, body, signature }))
                 }
@@ -275,3 +277,6 @@
 pub fn host_id(host: Ipv4Addr) -> crate::ids::ServerId {
     smol_str::format_smolstr!("host {host}")
 }
+
+#[cfg(test)]
+mod tests;
