Write answers to their end when a host stops or needs room

An answer in progress now keeps its connection, unless the system takes no more of it and memory or room is short.

--- a/src/connection/client_server.rs
+++ b/src/connection/client_server.rs
@@ -4,6 +4,7 @@
 //! of an answer take a limited time, and a body ends with its request's deadline (see
 //! [`client_body`](super::client_body)). Any of these waits ends early if its room is needed.
 
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -41,12 +43,11 @@
 const MAX_DISCARDED_BYTES: usize = 512 << 10;
 const DISCARD_BUFFER_BYTES: usize = 2 << 10;
 
-/// The refusal of a connection or of a request whose head has not arrived. A caller that comes back
-/// after the time finds the room of those that were closed meanwhile.
-const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.3\r\n\
-    content-length: 0\r\nconnection: close\r\n\r\n";
-const REQUEST_TIMEOUT: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+/// When a client may come back for which there was no room. The times are spread, so that a crowd
+/// does not return at once.
+const RETRY_AFTER_MS: std::ops::Range<u64> = 150..450;
+const REQUEST_TIMEOUT: &str =
+    "HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// The limits of one connection.
 #[derive(Debug, Clone, Copy)]
@@ -88,12 +89,22 @@
         clients.on_turned_away(kind, Cause::Connections);
         // Other hosts don't speak HTTP.
         if kind != ClientKind::Host {
-            refuse(clients, stream, UNAVAILABLE);
+            refuse(clients, stream, unavailable());
         }
     }
     None
 }
 
+/// Returns the refusal of a connection, or of a request whose head has not arrived.
+fn unavailable() -> Cow<'static, str> {
+    let retry_after_s = rand::rng().random_range(RETRY_AFTER_MS) as f64 / 1e3;
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {retry_after_s:.3}\r\ncontent-length: \
+         0\r\nconnection: close\r\n\r\n"
+    )
+    .into()
+}
+
 /// Why a connection ends.
 #[derive(Debug)]
 pub(crate) enum End {
@@ -144,7 +155,7 @@
             if !is_closing && closed.as_mut().poll(context).is_ready() {
                 is_closing = true;
                 // hyper would wait for the first request.
-                if let Phase::Idle(_) = connection.phase() {
+                if connection.is_idle() {
                     return Poll::Ready(End::Idle);
                 }
                 Pin::new(&mut http).graceful_shutdown();
@@ -170,8 +181,8 @@
     let can_write = !connection.is_write_blocked();
     let mut stream = stream.into_inner();
     let refusal = match end {
-        End::Finished(Ok(())) if connection.was_refused() => Some(&b""[..]),
-        End::Finished(Err(error)) if error.is_parse() => Some(&b""[..]),
+        End::Finished(Ok(())) if connection.was_refused() => Some(Cow::Borrowed("")),
+        End::Finished(Err(error)) if error.is_parse() => Some(Cow::Borrowed("")),
         End::Finished(result) => {
             if let Err(error) = result {
                 tracing::debug!(%error, "a client's connection failed");
@@ -181,11 +192,11 @@
         End::Idle => None,
         End::TimedOut(cause) => {
             registered.on_turned_away(cause);
-            (cause == Cause::HeadTimeout).then_some(REQUEST_TIMEOUT)
+            (cause == Cause::HeadTimeout).then_some(Cow::Borrowed(REQUEST_TIMEOUT))
         }
         End::Displaced => {
             registered.on_turned_away(Cause::Displaced);
-            matches!(connection.phase(), Phase::Head(_)).then_some(UNAVAILABLE)
+            matches!(connection.phase(), Phase::Head(_)).then(unavailable)
         }
     };
     match refusal {
@@ -199,11 +210,11 @@
 
 /// Sends a refusal and keeps the connection until it has arrived, apart from the connections that
 /// count as the clients'.
-fn refuse(clients: &Arc<Clients>, mut stream: TcpStream, refusal: &'static [u8]) {
+fn refuse(clients: &Arc<Clients>, mut stream: TcpStream, refusal: Cow<'static, str>) {
     let Some(refused) = clients.refuse() else { return };
     tokio::spawn(async move {
         let discard = async {
-            stream.write_all(refusal).await?;
+            stream.write_all(refusal.as_bytes()).await?;
             stream.shutdown().await?;
             let mut buffer = [0; DISCARD_BUFFER_BYTES];
             let mut discarded = 0;
@@ -277,3 +288,6 @@
         Poll::Pending
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/process/clients.rs
+++ b/src/process/clients.rs
@@ -208,17 +208,21 @@
             return None;
         }
         let old = |since: Instant| now.saturating_duration_since(since) >= MIN_WAIT;
-        let unread = self.unread_answer.filter(|_| self.is_write_blocked).map(|(since, _)| since);
-        let unread = unread.filter(|since| old(*since));
+        if let Some((since, _)) = self.unread_answer {
+            let rank = u8::from(shortage != Shortage::ReplyMemory);
+            return (self.is_write_blocked && old(since)).then_some((rank, since));
+        }
         match (shortage, self.phase) {
-            (Shortage::ReplyMemory, _) => unread.map(|since| (0, since)),
+            (Shortage::ReplyMemory, _) | (_, Phase::Serving) => None,
             // An idle connection holds nothing but its place.
-            (Shortage::Connections(_), Phase::Idle(since)) if unread.is_none() => Some((0, since)),
-            (Shortage::RequestMemory, Phase::Idle(since)) if unread.is_none() => Some((1, since)),
-            (_, Phase::Head(since) | Phase::Body(since)) if old(since) => {
-                Some((u8::from(matches!(shortage, Shortage::Connections(_))), since))
+            (Shortage::Connections(_), Phase::Idle(since)) => Some((0, since)),
+            (Shortage::RequestMemory, Phase::Idle(since)) => Some((1, since)),
+            (Shortage::Connections(_), Phase::Head(since) | Phase::Body(since)) => {
+                old(since).then_some((1, since))
+            }
+            (Shortage::RequestMemory, Phase::Head(since) | Phase::Body(since)) => {
+                old(since).then_some((0, since))
             }
-            _ => unread.map(|since| (1, since)),
         }
     }
 }
@@ -297,6 +301,12 @@
         self.lock().unread_answer.map(|(_, deadline)| deadline)
     }
 
+    /// Returns whether the connection is between two requests and the last answer is written.
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.unread_answer.is_none() && matches!(state.phase, Phase::Idle(_))
+    }
+
     /// Returns whether the system accepts no more bytes of an answer.
     pub fn is_write_blocked(&self) -> bool {
         self.lock().is_write_blocked
@@ -502,6 +512,12 @@
         false
     }
 
+    /// Makes the client leave that has not read its answer for longest; returns whether there was one.
+    #[cfg(test)]
+    pub(crate) fn displaces_unread_answer(&self) -> bool {
+        self.lock().displace(Shortage::ReplyMemory)
+    }
+
     /// Makes a client leave for a frame that did not fit.
     pub fn relieve_requests(&self) {
         self.lock().displace(Shortage::RequestMemory);
