Keep idle connections of hosts when memory is short; name the waits

A call of another host may cross the close of its idle connection, and would end as unknown, while the connection holds 24 KiB. Found by reading; no run has shown it. The limits of waits are a type of their own, as connections of hosts have no head.

--- a/src/connection/client_server.rs
+++ b/src/connection/client_server.rs
@@ -49,18 +49,25 @@
 const REQUEST_TIMEOUT: &str =
     "HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-/// The limits of one connection.
+/// The times that a host waits for a client.
 #[derive(Debug, Clone, Copy)]
-pub struct ConnectionLimits {
-    /// The maximum size of a request head.
-    pub max_head_bytes: usize,
-    /// The maximum time for a request head.
+pub struct WaitLimits {
+    /// The maximum time for a request head, or for a frame.
     pub head_timeout: Duration,
     /// The maximum time without a request. The time to read an answer is longer by what its length
     /// needs.
     pub idle_timeout: Duration,
 }
 
+/// The limits of one HTTP connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// The maximum size of a request head.
+    pub max_head_bytes: usize,
+    /// The times that this host waits for the client.
+    pub waits: WaitLimits,
+}
+
 /// Listens on an address with a limited buffer for what clients send while nobody reads it.
 ///
 /// # Errors
@@ -138,7 +145,7 @@
             let length = response.body().size_hint().lower();
             let read_time =
                 READ_TIME_PER_BYTE.saturating_mul(length.try_into().unwrap_or(u32::MAX));
-            connection.on_answer(limits.idle_timeout + read_time);
+            connection.on_answer(limits.waits.idle_timeout + read_time);
             Ok::<_, Infallible>(response)
         })
     });
@@ -148,7 +155,7 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let end = {
-        let mut waits = pin!(Waits::new(&connection, limits));
+        let mut waits = pin!(Waits::new(&connection, limits.waits));
         let mut closed = pin!(closing.cancelled());
         let mut is_closing = false;
         std::future::poll_fn(|context| {
@@ -180,6 +187,7 @@
     let has_ended = stream.has_ended();
     let can_write = !connection.is_write_blocked();
     let mut stream = stream.into_inner();
+    // The text of a refusal that is still to be written; it is empty if the answer refused the client.
     let refusal = match end {
         End::Finished(Ok(())) if connection.was_refused() => Some(Cow::Borrowed("")),
         End::Finished(Err(error)) if error.is_parse() => Some(Cow::Borrowed("")),
@@ -236,12 +244,12 @@
 #[derive(Debug)]
 pub(crate) struct Waits<'a> {
     connection: &'a ClientConnection,
-    limits: ConnectionLimits,
+    limits: WaitLimits,
     timer: Pin<Box<tokio::time::Sleep>>,
 }
 
 impl<'a> Waits<'a> {
-    pub(crate) fn new(connection: &'a ClientConnection, limits: ConnectionLimits) -> Self {
+    pub(crate) fn new(connection: &'a ClientConnection, limits: WaitLimits) -> Self {
         let timer = Box::pin(sleep_until(Instant::now() + limits.idle_timeout));
         Self { connection, limits, timer }
     }
--- a/src/connection/client_server/tests.rs
+++ b/src/connection/client_server/tests.rs
@@ -8,13 +8,15 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use super::{ConnectionLimits, accept_client, listen, serve};
+use super::{ConnectionLimits, WaitLimits, accept_client, listen, serve};
 use crate::process::clients::{ClientKind, Clients, MachineLimits};
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     max_head_bytes: 16 << 10,
-    head_timeout: Duration::from_millis(300),
-    idle_timeout: Duration::from_millis(600),
+    waits: WaitLimits {
+        head_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_millis(600),
+    },
 };
 /// Longer than the buffers between the two ends.
 const ANSWER_BYTES: usize = 32 << 20;
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::micros;
-use crate::connection::client_server::{ConnectionLimits, End, Waits, accept_client};
+use crate::connection::client_server::{End, WaitLimits, Waits, accept_client};
 use crate::connection::peer::{
     Batch, BatchId, ClaimAnswer, Hello, HelloRefusal, HelloReply, MAX_FRAME_BYTES, Order,
     PROTOCOL_VERSION, Part, Peer, Postcard, ShardReport,
@@ -32,12 +32,10 @@
 
 /// The deadline assumed for the batch of a collect call, which doesn't carry one.
 const ASSUMED_BATCH_DEADLINE: Duration = Duration::from_secs(5);
-/// The limits of a connection before the handshake; a peer stays connected after it.
-const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
-    max_head_bytes: 0,
-    head_timeout: Duration::from_secs(10),
-    idle_timeout: Duration::from_secs(10),
-};
+/// The time for the handshake; a peer stays connected after it.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
+const WAIT_LIMITS: WaitLimits =
+    WaitLimits { head_timeout: HANDSHAKE_TIMEOUT, idle_timeout: HANDSHAKE_TIMEOUT };
 
 /// The components of a host that handle calls from peers.
 #[derive(Clone)]
@@ -72,7 +70,7 @@
             let client = registered.connection();
             tokio::select! {
                 () = serve_connection(stream, handlers, client.clone()) => {}
-                end = Waits::new(client, CONNECTION_LIMITS) => {
+                end = Waits::new(client, WAIT_LIMITS) => {
                     if let End::Displaced = end {
                         registered.on_turned_away(Cause::Displaced);
                     }
--- a/src/process/clients.rs
+++ b/src/process/clients.rs
@@ -362,7 +362,9 @@
         let now = Instant::now();
         let fits = |connection: &ClientConnection| match shortage {
             Shortage::Connections(kind) => connection.kind == kind,
-            Shortage::RequestMemory | Shortage::ReplyMemory => true,
+            // A call of another host may be on its way, and an idle connection holds little.
+            Shortage::RequestMemory => connection.kind != ClientKind::Host || !connection.is_idle(),
+            Shortage::ReplyMemory => true,
         };
         let candidate = |(id, connection): (&ConnectionId, &Arc<ClientConnection>)| {
             let rank = fits(connection).then(|| connection.lock().candidate(now, shortage));
--- a/src/request/http.rs
+++ b/src/request/http.rs
@@ -21,7 +21,7 @@
 use crate::clock::{Monotonic, millis};
 use crate::connection::caller_api::{EntryHost, EntryHosts, ErrorReply, Reply, Status};
 use crate::connection::client_body::{self, BodyError};
-use crate::connection::client_server::{self, ConnectionLimits, accept_client};
+use crate::connection::client_server::{self, ConnectionLimits, WaitLimits, accept_client};
 use crate::connection::query::{Answer, Query, QueryBody};
 use crate::ids::{HostId, RequestId};
 use crate::outcome::{NotRunReason, Outcome, UnknownReason};
@@ -37,8 +37,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
     max_head_bytes: MAX_HEAD_BYTES,
-    head_timeout: HEAD_TIMEOUT,
-    idle_timeout: HEAD_TIMEOUT,
+    waits: WaitLimits { head_timeout: HEAD_TIMEOUT, idle_timeout: HEAD_TIMEOUT },
 };
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum number of concurrent requests from callers.
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -28,7 +28,7 @@
 use super::server_choice::Purpose;
 use super::timer::sleep_until;
 use crate::clock::{Monotonic, micros, millis};
-use crate::connection::client_server::{ConnectionLimits, End, Waits, accept_client, listen};
+use crate::connection::client_server::{End, WaitLimits, Waits, accept_client, listen};
 use crate::connection::client_stream::ClientStream;
 use crate::connection::exchange::{BackendProtocol, Call, Reply};
 use crate::connection::peer_frame::{
@@ -49,13 +49,9 @@
 const MAX_QUEUED_FRAMES: usize = 512;
 /// The time for one frame to arrive or to be read by the other host.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
-/// The limits of a host's connection. A host may have nothing to send for long; it opens another
-/// connection when it has.
-const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_head_bytes: 0,
-    head_timeout: FRAME_TIMEOUT,
-    idle_timeout: Duration::from_secs(600),
-};
+/// A host may have nothing to send for long; it opens another connection when it has.
+const WAIT_LIMITS: WaitLimits =
+    WaitLimits { head_timeout: FRAME_TIMEOUT, idle_timeout: Duration::from_secs(600) };
 /// After the first frame, parts that arrive within this time are returned together.
 const COALESCE_DELAY: Duration = Duration::from_millis(4);
 
@@ -144,7 +140,7 @@
         biased;
         () = receive => {}
         () = send => {}
-        end = Waits::new(&client, LIMITS) => match end {
+        end = Waits::new(&client, WAIT_LIMITS) => match end {
             End::TimedOut(_) => registered.on_turned_away(Cause::Frame),
             End::Displaced => registered.on_turned_away(Cause::Displaced),
             End::Idle | End::Finished(_) => {}
